Start the build, the base library and the checked configuration

Cause: an empty repository; every later part needs the configuration and its checks. Conclusion: operators' documents can be checked as a whole; nothing is scheduled yet.

--- /dev/null
+++ b/cmake/libraries.cmake
@@ -0,0 +1,15 @@
+# Declares libs/NAME as a static library with its public headers, and its tests as one program.
+function(fulmarworks_library NAME)
+  cmake_parse_arguments(ARG "" "" "PUBLIC;PRIVATE" ${ARGN})
+  file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+  add_library(${NAME} STATIC ${SOURCES})
+  target_include_directories(${NAME} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include
+                                     PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
+  target_link_libraries(${NAME} PUBLIC ${ARG_PUBLIC} PRIVATE ${ARG_PRIVATE})
+  file(GLOB TESTS CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
+  if(TESTS)
+    add_executable(test_${NAME} ${TESTS})
+    target_link_libraries(test_${NAME} PRIVATE ${NAME} Catch2::Catch2WithMain rapidcheck)
+    add_test(NAME ${NAME} COMMAND test_${NAME})
+  endif()
+endfunction()
--- /dev/null
+++ b/libs/base/include/base/log_line.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <sstream>
+#include <string_view>
+
+namespace fulmarworks {
+
+enum class log_level { info, warning, error };
+
+/**
+ * One structured log line of key=value fields, written when it goes out of scope.
+ *
+ *     log_line(log_level::info, "job_accepted").field("job", id).field("account", account);
+ *
+ * Not thread safe; use each line on one thread.
+ */
+class log_line {
+public:
+    /** Precondition: `event` is a lower-case word without spaces. */
+    log_line(log_level level, std::string_view event);
+    ~log_line();
+    log_line(const log_line&) = delete;
+    log_line& operator=(const log_line&) = delete;
+
+    /** Adds a field; a text value with spaces or quotes is quoted. */
+    log_line& field(std::string_view key, std::string_view value);
+
+    /** Adds a numeric field. */
+    log_line& field(std::string_view key, long long value);
+
+private:
+    log_level level_;
+    std::ostringstream text_;
+};
+
+} // namespace fulmarworks
--- /dev/null
+++ b/libs/model/include/model/configuration.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "base/enum_names.h"
+#include "base/json.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/**
+ * The operators' configuration: plain descriptions of named objects that refer to one another by
+ * name. A value of these types has been parsed but is valid only after `check_configuration`.
+ */
+namespace fulmarworks {
+
+enum class urgency { urgent, standard, background };
+
+template <>
+struct enum_names<urgency> {
+    static constexpr enum_name<urgency> names[] = {{urgency::urgent, "urgent"},
+                                                   {urgency::standard, "standard"},
+                                                   {urgency::background, "background"}};
+};
+
+/** What may be done to a running task so that its accelerators can be reclaimed. */
+enum class preemption { none, stop, checkpoint };
+
+template <>
+struct enum_names<preemption> {
+    static constexpr enum_name<preemption> names[] = {{preemption::none, "none"},
+                                                      {preemption::stop, "stop"},
+                                                      {preemption::checkpoint, "checkpoint"}};
+};
+
+/** What one task needs on one host. */
+struct task_shape {
+    int accelerators = 0;
+    int cores = 1;
+    int memory_gb = 1;
+
+    bool operator==(const task_shape&) const = default;
+};
+
+struct client_account {
+    std::string name;
+    double weight = 1;
+    int queue_limit = 1000;
+};
+
+/** Promises `count` blocks, each of adjacent accelerators on `hosts` hosts of one rack. */
+struct guarantee {
+    std::string name;
+    std::string client_account;
+    std::string host_pool;
+    int hosts = 1;
+    int accelerators_per_host = 1;
+    int count = 1;
+};
+
+struct retry_policy {
+    std::string name;
+    int max_attempts = 3;
+    time_ms backoff_ms = 200;
+    int budget_per_minute = 60;
+};
+
+struct job_class {
+    std::string name;
+    urgency priority = urgency::standard;
+    time_ms deadline_ms = 0;
+    bool repeatable = true;
+    preemption preempt = preemption::none;
+    time_ms checkpoint_ms = 0;
+    std::string retry_policy;
+    int queue_limit = 1000;
+};
+
+struct rack_description {
+    std::string name;
+    int hosts = 8;
+    /** The last hosts of the rack, which are off until they are needed. */
+    int spare_hosts = 0;
+};
+
+struct host_pool {
+    std::string name;
+    std::string failure_domain;
+    std::vector<rack_description> racks;
+    task_shape host_capacity;
+    time_ms startup_ms = 60 * milliseconds_per_second;
+};
+
+struct failure_domain {
+    std::string name;
+    std::string region;
+};
+
+struct scheduling_policy {
+    double fragmentation_weight = 0.5;
+    double completion_weight = 0.5;
+    time_ms reclaim_limit_ms = 30 * milliseconds_per_second;
+};
+
+struct configuration {
+    std::vector<failure_domain> failure_domains;
+    std::vector<host_pool> host_pools;
+    std::vector<client_account> client_accounts;
+    std::vector<guarantee> guarantees;
+    std::vector<retry_policy> retry_policies;
+    std::vector<job_class> job_classes;
+    scheduling_policy policy;
+};
+
+FULMARWORKS_JSON(task_shape, accelerators, cores, memory_gb)
+FULMARWORKS_JSON(client_account, name, weight, queue_limit)
+FULMARWORKS_JSON(guarantee, name, client_account, host_pool, hosts, accelerators_per_host, count)
+FULMARWORKS_JSON(retry_policy, name, max_attempts, backoff_ms, budget_per_minute)
+FULMARWORKS_JSON(job_class, name, priority, deadline_ms, repeatable, preempt, checkpoint_ms,
+                 retry_policy, queue_limit)
+FULMARWORKS_JSON(rack_description, name, hosts, spare_hosts)
+FULMARWORKS_JSON(host_pool, name, failure_domain, racks, host_capacity, startup_ms)
+FULMARWORKS_JSON(failure_domain, name, region)
+FULMARWORKS_JSON(scheduling_policy, fragmentation_weight, completion_weight, reclaim_limit_ms)
+FULMARWORKS_JSON(configuration, failure_domains, host_pools, client_accounts, guarantees,
+                 retry_policies, job_classes, policy)
+
+/** Returns the object called `name`, or nullptr. Thread safe. */
+template <class Object>
+[[nodiscard]] const Object* find_named(const std::vector<Object>& objects, std::string_view name) {
+    for (const auto& object : objects) {
+        if (object.name == name) {
+            return &object;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace fulmarworks
