Add placement: indexed cluster, gang search and the reclaim plan

Cause: decisions need blocks of adjacent accelerators at a cost that does not grow with the number of running tasks. Change: hosts indexed by their longest free run, buddy-aligned runs, gangs in one rack, cells for every guarantee that pinned work cannot enter.

--- /dev/null
+++ b/libs/placement/src/cluster.cpp
@@ -0,0 +1,229 @@
+#include "placement/cluster.h"
+
+#include <algorithm>
+
+namespace fulmarworks {
+
+namespace {
+
+constexpr int max_run = 64;
+
+template <class Index>
+std::optional<Index> find_index(const std::unordered_map<std::string, Index>& names,
+                                std::string_view name) {
+    const auto found = names.find(std::string(name));
+    if (found == names.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+void add_shape(task_shape& total, const task_shape& shape, int sign) {
+    total.accelerators += sign * shape.accelerators;
+    total.cores += sign * shape.cores;
+    total.memory_gb += sign * shape.memory_gb;
+}
+
+int free_count(const host& h) {
+    return h.capacity.accelerators - std::popcount(h.used);
+}
+
+} // namespace
+
+pool_index cluster::add_pool(std::string name, std::string failure_domain) {
+    const auto index = static_cast<pool_index>(pools_.size());
+    pool_names_.emplace(name, index);
+    pools_.push_back({std::move(name), std::move(failure_domain), {}, 0});
+    unplanned_.emplace_back(max_run + 1);
+    unclaimed_.emplace_back(max_run + 1);
+    return index;
+}
+
+rack_index cluster::add_rack(pool_index owner, std::string name) {
+    const auto index = static_cast<rack_index>(racks_.size());
+    rack_names_.emplace(name, index);
+    rack added;
+    added.name = std::move(name);
+    added.pool = owner;
+    racks_.push_back(std::move(added));
+    pools_[owner].racks.push_back(index);
+    return index;
+}
+
+host_index cluster::add_host(rack_index owner, std::string name, task_shape capacity, bool spare) {
+    const auto index = static_cast<host_index>(hosts_.size());
+    host_names_.emplace(name, index);
+    host added;
+    added.name = std::move(name);
+    added.rack = owner;
+    added.pool = racks_[owner].pool;
+    added.capacity = capacity;
+    added.spare = spare;
+    added.used_total = added.pinned_total = {0, 0, 0};
+    hosts_.push_back(std::move(added));
+    indexed_.emplace_back();
+    racks_[owner].hosts.push_back(index);
+    return index;
+}
+
+bool cluster::is_open(host_index h) const {
+    return hosts_[h].status == host_status::up && !hosts_[h].quarantined;
+}
+
+cluster::run_buckets& cluster::buckets(pool_index p, space where) {
+    return where == space::unplanned ? unplanned_[p] : unclaimed_[p];
+}
+
+void cluster::unindex(host_index h) {
+    indexed_runs& runs = indexed_[h];
+    if (runs.unclaimed < 0) {
+        return;
+    }
+    const host& state = hosts_[h];
+    buckets(state.pool, space::unplanned)[runs.unplanned].erase(h);
+    buckets(state.pool, space::unclaimed)[runs.unclaimed].erase(h);
+    racks_[state.rack].free_accelerators -= free_count(state);
+    pools_[state.pool].free_accelerators -= free_count(state);
+    racks_[state.rack].empty_hosts -= state.tasks == 0 ? 1 : 0;
+    runs = {};
+}
+
+void cluster::index(host_index h) {
+    if (!is_open(h)) {
+        return;
+    }
+    const host& state = hosts_[h];
+    indexed_runs& runs = indexed_[h];
+    runs.unplanned = longest_run(available(h, space::unplanned));
+    runs.unclaimed = longest_run(available(h, space::unclaimed));
+    buckets(state.pool, space::unplanned)[runs.unplanned].insert(h);
+    buckets(state.pool, space::unclaimed)[runs.unclaimed].insert(h);
+    racks_[state.rack].free_accelerators += free_count(state);
+    pools_[state.pool].free_accelerators += free_count(state);
+    racks_[state.rack].empty_hosts += state.tasks == 0 ? 1 : 0;
+}
+
+template <class Change>
+void cluster::update(host_index h, Change change) {
+    unindex(h);
+    change(hosts_[h]);
+    index(h);
+}
+
+void cluster::set_status(host_index h, host_status status) {
+    update(h, [&](host& state) { state.status = status; });
+}
+
+void cluster::set_quarantined(host_index h, bool quarantined) {
+    update(h, [&](host& state) { state.quarantined = quarantined; });
+}
+
+void cluster::set_planned(host_index h, accelerator_mask planned) {
+    update(h, [&](host& state) { state.planned = planned; });
+}
+
+void cluster::set_claimed(host_index h, accelerator_mask claimed) {
+    update(h, [&](host& state) { state.claimed = claimed; });
+}
+
+void cluster::occupy(const block& b, const task_shape& shape, bool pinned) {
+    update(b.host, [&](host& state) {
+        ++state.tasks;
+        state.used |= mask_of(b);
+        add_shape(state.used_total, shape, 1);
+        if (pinned) {
+            state.pinned |= mask_of(b);
+            add_shape(state.pinned_total, shape, 1);
+        }
+    });
+}
+
+void cluster::release(const block& b, const task_shape& shape, bool pinned) {
+    update(b.host, [&](host& state) {
+        --state.tasks;
+        state.used &= ~mask_of(b);
+        add_shape(state.used_total, shape, -1);
+        if (pinned) {
+            state.pinned &= ~mask_of(b);
+            add_shape(state.pinned_total, shape, -1);
+        }
+    });
+}
+
+accelerator_mask cluster::available(host_index h, space where) const {
+    const host& state = hosts_[h];
+    const accelerator_mask kept = where == space::unplanned ? state.planned : state.claimed;
+    return mask_of(0, state.capacity.accelerators) & ~state.used & ~kept;
+}
+
+bool cluster::has_cores(host_index h, const task_shape& shape, bool pinned) const {
+    const host& state = hosts_[h];
+    const task_shape& total = state.capacity;
+    if (state.used_total.cores + shape.cores > total.cores ||
+        state.used_total.memory_gb + shape.memory_gb > total.memory_gb) {
+        return false;
+    }
+    const int planned = std::popcount(state.planned);
+    if (!pinned || planned == 0) {
+        return true;
+    }
+    const int planned_cores = total.cores * planned / total.accelerators;
+    const int planned_memory = total.memory_gb * planned / total.accelerators;
+    return state.pinned_total.cores + shape.cores <= total.cores - planned_cores &&
+           state.pinned_total.memory_gb + shape.memory_gb <= total.memory_gb - planned_memory;
+}
+
+bool cluster::fits_block(const block& b, const task_shape& shape) const {
+    if (b.host >= hosts_.size() || b.first < 0 || b.count != shape.accelerators ||
+        b.first + b.count > hosts_[b.host].capacity.accelerators) {
+        return false;
+    }
+    return (hosts_[b.host].used & mask_of(b)) == 0 && has_cores(b.host, shape, false);
+}
+
+std::optional<host_index> cluster::find_host(std::string_view name) const {
+    return find_index(host_names_, name);
+}
+
+std::optional<rack_index> cluster::find_rack(std::string_view name) const {
+    return find_index(rack_names_, name);
+}
+
+std::optional<pool_index> cluster::find_pool(std::string_view name) const {
+    return find_index(pool_names_, name);
+}
+
+const std::set<host_index>& cluster::hosts_with_run(pool_index p, space where, int run) const {
+    return where == space::unplanned ? unplanned_[p][run] : unclaimed_[p][run];
+}
+
+double fragmentation(const cluster& c, int hosts, int accelerators) {
+    int free = 0;
+    int servable = 0;
+    for (const auto& r : c.racks()) {
+        free += r.free_accelerators;
+        std::vector<int> runs;
+        for (const host_index h : r.hosts) {
+            if (c.is_open(h)) {
+                const host& state = c.hosts()[h];
+                const accelerator_mask all = mask_of(0, state.capacity.accelerators);
+                runs.push_back(count_runs(all & ~state.used, accelerators));
+            }
+        }
+        // Takes one run from each of the hosts that have most left, until too few have any.
+        while (static_cast<int>(runs.size()) >= hosts) {
+            std::nth_element(runs.begin(), runs.begin() + (hosts - 1), runs.end(),
+                             std::greater<>());
+            if (runs[hosts - 1] == 0) {
+                break;
+            }
+            for (int i = 0; i < hosts; ++i) {
+                --runs[i];
+            }
+            servable += hosts * accelerators;
+        }
+    }
+    return free == 0 ? 0.0 : 1.0 - static_cast<double>(servable) / free;
+}
+
+} // namespace fulmarworks
--- /dev/null
+++ b/libs/placement/tests/placement_test.cpp
@@ -0,0 +1,176 @@
+#include "placement/find_placement.h"
+#include "placement/reclaim_plan.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace fulmarworks;
+
+namespace {
+
+constexpr task_shape host_capacity = {8, 64, 128};
+
+cluster make_cluster(int racks, int hosts) {
+    cluster c;
+    const auto p = c.add_pool("p", "d");
+    for (int r = 0; r < racks; ++r) {
+        const auto index = c.add_rack(p, "r" + std::to_string(r));
+        for (int h = 0; h < hosts; ++h) {
+            const auto added = c.add_host(index, "r" + std::to_string(r) + "-h" + std::to_string(h),
+                                          host_capacity, false);
+            c.set_status(added, host_status::up);
+        }
+    }
+    return c;
+}
+
+/** Looks at every host and position: the answer that the index must agree with. */
+bool naive_single_fits(const cluster& c, const placement_request& request) {
+    for (host_index h = 0; h < c.hosts().size(); ++h) {
+        if (!c.is_open(h) || !c.has_cores(h, request.shape, request.pinned)) {
+            continue;
+        }
+        const auto available = c.available(h, request.where);
+        for (int first = 0; first + request.shape.accelerators <= 8; ++first) {
+            const auto wanted = mask_of(first, request.shape.accelerators);
+            if ((available & wanted) == wanted) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool naive_rack_gang_fits(const cluster& c, const placement_request& request) {
+    for (const auto& r : c.racks()) {
+        int tasks = 0;
+        for (const host_index h : r.hosts) {
+            if (!c.is_open(h)) {
+                continue;
+            }
+            const auto runs = count_runs(c.available(h, request.where), request.shape.accelerators);
+            for (int i = 1; i <= runs; ++i) {
+                const task_shape sum = {0, request.shape.cores * i, request.shape.memory_gb * i};
+                tasks += c.has_cores(h, sum, request.pinned) ? 1 : 0;
+            }
+        }
+        if (tasks >= request.tasks) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("runs are counted, measured and chosen to break up least") {
+    CHECK(longest_run(0b1101110) == 3);
+    CHECK(count_runs(0b11101111, 2) == 3);
+    CHECK(longest_run(~accelerator_mask{0}) == 64);
+    CHECK(count_runs(~accelerator_mask{0}, 64) == 1);
+    // The pair at 6 is alone; the four at 0 stay whole.
+    CHECK(best_run(0b11001111, 8, 2) == 6);
+    CHECK(best_run(0b11111111, 8, 4) == 0);
+    CHECK_FALSE(best_run(0b01010101, 8, 2).has_value());
+    CHECK(best_run(0b01111110, 8, 6) == 1);
+}
+
+TEST_CASE("a small task fills a broken host and leaves empty hosts whole") {
+    cluster c = make_cluster(2, 4);
+    c.occupy({5, 0, 6}, {6, 6, 6}, true);
+    const auto placed = find_placement(c, {{2, 2, 2}, 1, true, space::unplanned, {}, false});
+    REQUIRE(placed);
+    CHECK(placed->front() == block{5, 6, 2});
+}
+
+TEST_CASE("a gang goes into one rack or, if larger than any, over racks") {
+    cluster c = make_cluster(2, 4);
+    const task_shape whole_host = {8, 8, 8};
+    const auto in_rack = find_placement(c, {whole_host, 4, true, space::unplanned, {}, false});
+    REQUIRE(in_rack);
+    for (const auto& b : *in_rack) {
+        CHECK(c.hosts()[b.host].rack == c.hosts()[in_rack->front().host].rack);
+    }
+    CHECK(find_placement(c, {whole_host, 6, true, space::unplanned, {}, false}).has_value());
+    CHECK_FALSE(find_placement(c, {whole_host, 9, true, space::unplanned, {}, false}).has_value());
+    c.occupy({0, 0, 1}, {1, 1, 1}, true);
+    c.occupy({4, 0, 1}, {1, 1, 1}, true);
+    CHECK_FALSE(find_placement(c, {whole_host, 4, true, space::unplanned, {}, false}).has_value());
+}
+
+TEST_CASE("the index gives the same feasibility as looking everywhere") {
+    std::mt19937 random(11);
+    cluster c = make_cluster(3, 4);
+    struct taken {
+        block where;
+        task_shape shape;
+        bool pinned;
+    };
+    std::vector<taken> running;
+    for (int step = 0; step < 4000; ++step) {
+        const placement_request request = {
+            {static_cast<int>(random() % 8) + 1, static_cast<int>(random() % 20), 4},
+            1,
+            random() % 2 == 0,
+            random() % 2 == 0 ? space::unplanned : space::unclaimed,
+            {},
+            false};
+        const auto placed = find_placement(c, request);
+        REQUIRE(placed.has_value() == naive_single_fits(c, request));
+        auto gang = request;
+        gang.tasks = 1 + static_cast<int>(random() % 4);
+        if (gang.tasks > 1) {
+            const auto blocks = find_placement(c, gang);
+            REQUIRE(blocks.has_value() == naive_rack_gang_fits(c, gang));
+        }
+        if (placed) {
+            REQUIRE(c.fits_block(placed->front(), request.shape));
+            c.occupy(placed->front(), request.shape, request.pinned);
+            running.push_back({placed->front(), request.shape, request.pinned});
+        }
+        if (!running.empty() && random() % 3 != 0) {
+            const std::size_t i = random() % running.size();
+            c.release(running[i].where, running[i].shape, running[i].pinned);
+            running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+        if (random() % 50 == 0) {
+            c.set_planned(random() % 12, random() % 256);
+        }
+        if (random() % 50 == 0) {
+            c.set_quarantined(random() % 12, random() % 2 == 0);
+        }
+    }
+}
+
+TEST_CASE("pinned work never breaks the plan, and host loss moves it") {
+    std::mt19937 random(5);
+    configuration config;
+    config.guarantees = {{"g1", "a", "p", 2, 8, 1}, {"g2", "b", "p", 1, 4, 2}};
+    cluster c = make_cluster(3, 4);
+    auto cells = promised_cells(config);
+    update_plan(c, cells);
+    REQUIRE(is_plan_feasible(c, cells));
+    for (int step = 0; step < 300; ++step) {
+        const placement_request request = {
+            {static_cast<int>(random() % 4), 4, 4}, 1, true, space::unplanned, {}, false};
+        const auto placed = find_placement(c, request);
+        if (!placed) {
+            break;
+        }
+        c.occupy(placed->front(), request.shape, true);
+        REQUIRE(is_plan_feasible(c, cells));
+    }
+    c.set_status(cells[0].blocks[0].host, host_status::lost);
+    CHECK_FALSE(is_plan_feasible(c, cells));
+    const auto changed = update_plan(c, cells);
+    CHECK(std::find(changed.begin(), changed.end(), 0U) != changed.end());
+    CHECK(cells[0].blocks.empty());
+}
+
+TEST_CASE("fragmentation counts free accelerators that cannot serve the shape") {
+    cluster c = make_cluster(1, 2);
+    CHECK(fragmentation(c, 2, 8) == 0);
+    c.occupy({0, 0, 1}, {1, 1, 1}, true);
+    CHECK(fragmentation(c, 2, 8) == 1);
+    CHECK(fragmentation(c, 1, 8) == Approx(7.0 / 15));
+}
