Add the ledger, the policy, the instance reducer and the platform adapters

Cause: the whole path needs decisions that several instances agree on without a lock. Change: records and a deterministic fold over the log; a planner whose proposals the fold checks; one reducer for all events of an instance with effects as data; HTTP over libevhtp and evhttp, log, worker and host-list adapters, announcements over nng. The whole path is not yet connected.

--- /dev/null
+++ b/libs/http/src/http_client.cpp
@@ -0,0 +1,185 @@
+#include "http/http_client.h"
+
+#include "http/http_server.h"
+
+#include <cstdlib>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace fulmarworks {
+
+namespace {
+
+constexpr std::size_t max_idle_per_address = 8;
+constexpr ev_ssize_t max_answer_bytes = 64 * 1024 * 1024;
+
+evhttp_cmd_type command_of(const std::string& method) {
+    if (method == "POST") {
+        return EVHTTP_REQ_POST;
+    }
+    return method == "PUT" ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
+}
+
+http_answer read_answer(evhttp_request* request) {
+    http_answer answer;
+    if (request == nullptr) {
+        return answer;
+    }
+    answer.status = evhttp_request_get_response_code(request);
+    evbuffer* input = evhttp_request_get_input_buffer(request);
+    answer.body.resize(evbuffer_get_length(input));
+    evbuffer_copyout(input, answer.body.data(), answer.body.size());
+    const char* retry_after =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "Retry-After");
+    if (retry_after != nullptr) {
+        answer.retry_after_ms = std::atol(retry_after) * milliseconds_per_second;
+    }
+    return answer;
+}
+
+} // namespace
+
+struct http_client::impl {
+    struct open_call {
+        impl* client = nullptr;
+        evhttp_connection* connection = nullptr;
+        std::string address;
+        answer_handler on_answer;
+    };
+
+    event_loop& loop;
+    std::unordered_map<std::string, std::vector<evhttp_connection*>> idle;
+    std::unordered_set<open_call*> calls;
+    std::unordered_set<evhttp_connection*> closing;
+    std::uint64_t bytes = 0;
+
+    explicit impl(event_loop& l) : loop(l) {}
+
+    ~impl() {
+        for (auto* call : calls) {
+            call->client = nullptr;
+        }
+        for (auto& [address, connections] : idle) {
+            for (auto* connection : connections) {
+                evhttp_connection_free(connection);
+            }
+        }
+        // Copies: freeing a connection completes its call, which looks into `calls`.
+        const auto open = calls;
+        for (auto* call : open) {
+            evhttp_connection_free(call->connection);
+            delete call;
+        }
+        for (auto* connection : closing) {
+            evhttp_connection_free(connection);
+        }
+    }
+
+    evhttp_connection* connect(const std::string& address) {
+        auto& available = idle[address];
+        if (!available.empty()) {
+            evhttp_connection* connection = available.back();
+            available.pop_back();
+            return connection;
+        }
+        const auto parsed = parse_address(address);
+        if (!parsed) {
+            return nullptr;
+        }
+        const socket_address& where = parsed.value();
+        evhttp_connection* connection =
+            evhttp_connection_base_new(loop.base(), nullptr, where.ip.c_str(), where.port);
+        evhttp_connection_set_max_body_size(connection, max_answer_bytes);
+        evhttp_connection_set_retries(connection, 0);
+        return connection;
+    }
+
+    /** A connection can't be freed inside its own callback. */
+    void close_later(evhttp_connection* connection) {
+        closing.insert(connection);
+        loop.after(0, [this, connection] {
+            closing.erase(connection);
+            evhttp_connection_free(connection);
+        });
+    }
+
+    static void completed(evhttp_request* request, void* argument) {
+        auto* call = static_cast<open_call*>(argument);
+        impl* client = call->client;
+        if (client == nullptr) {
+            return;
+        }
+        const http_answer answer = read_answer(request);
+        client->calls.erase(call);
+        client->bytes += answer.body.size();
+        auto& available = client->idle[call->address];
+        if (answer.status != 0 && available.size() < max_idle_per_address) {
+            available.push_back(call->connection);
+        } else {
+            client->close_later(call->connection);
+        }
+        const auto handler = std::move(call->on_answer);
+        delete call;
+        handler(answer);
+    }
+
+    void send(const http_call& call, answer_handler on_answer) {
+        evhttp_connection* connection = connect(call.address);
+        if (connection == nullptr) {
+            loop.after(0, [on_answer] { on_answer({}); });
+            return;
+        }
+        auto* open = new open_call{this, connection, call.address, std::move(on_answer)};
+        calls.insert(open);
+        const timeval timeout = {
+            static_cast<time_t>(call.timeout_ms / milliseconds_per_second),
+            static_cast<suseconds_t>(call.timeout_ms % milliseconds_per_second * 1000)};
+        evhttp_connection_set_timeout_tv(connection, &timeout);
+        evhttp_request* request = evhttp_request_new(completed, open);
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Host", call.address.c_str());
+        if (!call.body.empty()) {
+            evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(),
+                         call.body.size());
+        }
+        bytes += call.body.size();
+        if (evhttp_make_request(connection, request, command_of(call.method),
+                                call.target.c_str()) != 0) {
+            calls.erase(open);
+            close_later(connection);
+            loop.after(0, [handler = std::move(open->on_answer)] { handler({}); });
+            delete open;
+        }
+    }
+};
+
+http_client::http_client(event_loop& loop) : impl_(std::make_unique<impl>(loop)) {}
+
+http_client::~http_client() = default;
+
+void http_client::send(const http_call& call, answer_handler on_answer) {
+    impl_->send(call, std::move(on_answer));
+}
+
+std::uint64_t http_client::bytes_transferred() const {
+    return impl_->bytes;
+}
+
+http_answer call_and_wait(const http_call& call) {
+    event_loop loop;
+    http_answer answer;
+    bool done = false;
+    http_client client(loop);
+    client.send(call, [&](const http_answer& a) {
+        answer = a;
+        done = true;
+    });
+    constexpr time_ms margin_ms = 1000;
+    loop.run_until([&] { return done; }, call.timeout_ms + margin_ms);
+    return answer;
+}
+
+} // namespace fulmarworks
--- /dev/null
+++ b/libs/instance/include/instance/event.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "ledger/job.h"
+#include "protocol/peer.h"
+#include "protocol/worker.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+/** Everything that can happen to an instance. */
+namespace fulmarworks {
+
+/** Names a caller's open connection. */
+using caller_token = std::uint64_t;
+
+enum class append_lane { urgent, bulk };
+
+template <>
+struct enum_names<append_lane> {
+    static constexpr enum_name<append_lane> names[] = {{append_lane::urgent, "urgent"},
+                                                       {append_lane::bulk, "bulk"}};
+};
+
+/** Times at which an event is handled. */
+struct event_time {
+    time_ms monotonic = 0;
+    time_ms wall = 0;
+};
+
+struct tick {};
+
+/** A snapshot was read, or there is none (empty text). */
+struct snapshot_loaded {
+    std::string text;
+};
+
+struct snapshot_load_failed {};
+
+struct log_records {
+    std::uint64_t first_offset = 0;
+    std::vector<std::string> texts;
+    /** Offset after the newest record of the log. */
+    std::uint64_t tail = 0;
+};
+
+/** The log no longer holds the record that was asked for. */
+struct log_trimmed {};
+struct log_read_failed {};
+
+struct append_acknowledged {
+    append_lane lane = append_lane::urgent;
+    std::uint64_t batch = 0;
+};
+
+/** It is not known whether the append took effect. */
+struct append_unknown {
+    append_lane lane = append_lane::urgent;
+    std::uint64_t batch = 0;
+};
+
+struct snapshot_written {
+    bool succeeded = false;
+};
+
+struct host_list_read {
+    std::vector<host_entry> hosts;
+};
+
+struct worker_answered {
+    std::string host;
+    worker_report report;
+    /** Whether this answers a poll rather than an order. */
+    bool was_poll = false;
+};
+
+struct worker_failed {
+    std::string host;
+    bool was_poll = false;
+};
+
+struct peer_heard {
+    peer_message message;
+};
+
+struct caller_submitted {
+    caller_token token = 0;
+    job_request request;
+    time_ms wait_ms = 0;
+};
+
+struct caller_asked {
+    caller_token token = 0;
+    std::string job;
+    time_ms wait_ms = 0;
+};
+
+struct caller_cancelled {
+    caller_token token = 0;
+    std::string job;
+};
+
+struct caller_published {
+    caller_token token = 0;
+    std::string publish_id;
+    std::uint64_t based_on = 0;
+    std::string document;
+};
+
+/** The caller closed its connection. */
+struct caller_gone {
+    caller_token token = 0;
+};
+
+/** The holder of a result said that it has it no longer. */
+struct result_missing {
+    std::string job;
+    int attempt = 0;
+};
+
+struct shutdown_requested {};
+
+using event = std::variant<tick, snapshot_loaded, snapshot_load_failed, log_records, log_trimmed,
+                           log_read_failed, append_acknowledged, append_unknown, snapshot_written,
+                           host_list_read, worker_answered, worker_failed, peer_heard,
+                           caller_submitted, caller_asked, caller_cancelled, caller_published,
+                           caller_gone, result_missing, shutdown_requested>;
+
+} // namespace fulmarworks
--- /dev/null
+++ b/libs/ledger/include/ledger/job.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "model/configuration.h"
+#include "placement/block.h"
+
+#include <string>
+#include <vector>
+
+namespace fulmarworks {
+
+/** A caller's request, as it stands in the log. */
+struct job_request {
+    std::string client_account;
+    std::string request_id;
+    std::string job_class;
+    task_shape shape;
+    int tasks = 1;
+    /** Run time that the caller declares. */
+    time_ms declared_ms = 0;
+    /** Wall-clock time at which the caller issued the request. */
+    time_ms issued_at = 0;
+    std::string payload;
+};
+
+FULMARWORKS_JSON(job_request, client_account, request_id, job_class, shape, tasks, declared_ms,
+                 issued_at, payload)
+
+/** Returns the name of a request throughout the system. Thread safe. */
+[[nodiscard]] inline std::string job_id_of(std::string_view account, std::string_view request_id) {
+    return std::string(account) + "/" + std::string(request_id);
+}
+
+/** Returns a digest of what is asked for, which is equal for a retry of the same request. */
+[[nodiscard]] std::string digest_of(const job_request& r);
+
+enum class job_phase { queued, placed, stopping, done, failed, not_run };
+
+template <>
+struct enum_names<job_phase> {
+    static constexpr enum_name<job_phase> names[] = {
+        {job_phase::queued, "queued"},     {job_phase::placed, "placed"},
+        {job_phase::stopping, "stopping"}, {job_phase::done, "done"},
+        {job_phase::failed, "failed"},     {job_phase::not_run, "not_run"}};
+};
+
+[[nodiscard]] constexpr bool is_final(job_phase phase) {
+    return phase >= job_phase::done;
+}
+
+/** Why a job is stopping, was queued again, or ended. */
+enum class job_reason {
+    none,
+    cancelled,
+    queue_timeout,
+    queue_full,
+    never_fits,
+    unknown_name,
+    stale_request,
+    task_failed,
+    failed_everywhere,
+    worker_lost,
+    worker_suspect,
+    result_lost,
+    reclaimed,
+    urgent_work,
+    start_refused,
+};
+
+template <>
+struct enum_names<job_reason> {
+    static constexpr enum_name<job_reason> names[] = {
+        {job_reason::none, "none"},
+        {job_reason::cancelled, "cancelled"},
+        {job_reason::queue_timeout, "queue_timeout"},
+        {job_reason::queue_full, "queue_full"},
+        {job_reason::never_fits, "never_fits"},
+        {job_reason::unknown_name, "unknown_name"},
+        {job_reason::stale_request, "stale_request"},
+        {job_reason::task_failed, "task_failed"},
+        {job_reason::failed_everywhere, "failed_everywhere"},
+        {job_reason::worker_lost, "worker_lost"},
+        {job_reason::worker_suspect, "worker_suspect"},
+        {job_reason::result_lost, "result_lost"},
+        {job_reason::reclaimed, "reclaimed"},
+        {job_reason::urgent_work, "urgent_work"},
+        {job_reason::start_refused, "start_refused"}};
+};
+
+/** How a task ended at its worker. */
+enum class task_outcome {
+    /** It has not ended. */
+    none,
+    done,
+    failed,
+    /** It ran and was stopped. */
+    stopped,
+    /** It was stopped after a checkpoint. */
+    checkpointed,
+    /** The worker has promised that it did not and will not start it. */
+    not_started,
+    /** Its worker is gone. */
+    lost,
+};
+
+template <>
+struct enum_names<task_outcome> {
+    static constexpr enum_name<task_outcome> names[] = {
+        {task_outcome::none, "none"},
+        {task_outcome::done, "done"},
+        {task_outcome::failed, "failed"},
+        {task_outcome::stopped, "stopped"},
+        {task_outcome::checkpointed, "checkpointed"},
+        {task_outcome::not_started, "not_started"},
+        {task_outcome::lost, "lost"}};
+};
+
+struct job_member {
+    block where;
+    bool ready = false;
+    task_outcome outcome = task_outcome::none;
+};
+
+FULMARWORKS_JSON(job_member, where, ready, outcome)
+
+/** One decision about a job, for `explain`. */
+struct job_decision {
+    std::uint64_t offset = 0;
+    time_ms at = 0;
+    std::string what;
+};
+
+FULMARWORKS_JSON(job_decision, offset, at, what)
+
+struct job_result {
+    std::string holder;
+    std::string digest;
+    std::uint64_t size = 0;
+    /** The result itself where it is small enough to stand in the log. */
+    std::string inlined;
+};
+
+FULMARWORKS_JSON(job_result, holder, digest, size, inlined)
+
+struct job {
+    std::string id;
+    job_request request;
+    std::string request_digest;
+    std::uint64_t submit_offset = 0;
+    time_ms submitted_at = 0;
+    job_phase phase = job_phase::queued;
+    job_reason reason = job_reason::none;
+    /** Number of placements so far; the current one while placed. */
+    int attempt = 0;
+    bool cancel_requested = false;
+    /** Whether some task of it was, or may have been, started. */
+    bool may_have_run = false;
+    bool pinned = false;
+    /** Guarantee cell in which it runs, if any. */
+    std::string cell;
+    std::vector<job_member> members;
+    /** Job for which this one is being stopped. */
+    std::string stopped_for;
+    bool checkpoint_first = false;
+    time_ms stop_requested_at = 0;
+    /** Run time saved by the last checkpoint. */
+    time_ms progress_ms = 0;
+    time_ms not_before = 0;
+    time_ms placed_at = 0;
+    time_ms started_at = 0;
+    time_ms ended_at = 0;
+    std::string error;
+    int lost_attempts = 0;
+    std::vector<host_index> failed_hosts;
+    job_result result;
+    std::vector<job_decision> history;
+};
+
+FULMARWORKS_JSON(job, id, request, request_digest, submit_offset, submitted_at, phase, reason,
+                 attempt, cancel_requested, may_have_run, pinned, cell, members, stopped_for,
+                 checkpoint_first, stop_requested_at, progress_ms, not_before, placed_at,
+                 started_at, ended_at, error, lost_attempts, failed_hosts, result, history)
+
+/** Returns whether a gang's members may start: all are ready, or there is only one. */
+[[nodiscard]] inline bool may_start(const job& j) {
+    if (j.members.size() == 1) {
+        return true;
+    }
+    for (const auto& member : j.members) {
+        if (!member.ready) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace fulmarworks
--- /dev/null
+++ b/libs/ledger/src/plan_upkeep.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "fold.h"
+
+namespace fulmarworks {
+
+/** Re-plans after hosts or guarantees changed; work in a cell that moved becomes pinned. */
+void refresh_plan(fold& f);
+
+/** Re-plans only where some guarantee has no blocks. */
+void refresh_plan_if_at_risk(fold& f);
+
+} // namespace fulmarworks
--- a/libs/model/include/model/configuration.h
+++ b/libs/model/include/model/configuration.h
@@ -68,7 +68,10 @@
 struct job_class {
     std::string name;
     urgency priority = urgency::standard;
+    /** Time from submission by which urgent work must have started. */
     time_ms deadline_ms = 0;
+    /** Longest time in the queue before the job is given up; 0 for no limit. */
+    time_ms queue_timeout_ms = 0;
     bool repeatable = true;
     preemption preempt = preemption::none;
     time_ms checkpoint_ms = 0;
@@ -116,8 +119,8 @@
 FULMARWORKS_JSON(client_account, name, weight, queue_limit)
 FULMARWORKS_JSON(guarantee, name, client_account, host_pool, hosts, accelerators_per_host, count)
 FULMARWORKS_JSON(retry_policy, name, max_attempts, backoff_ms, budget_per_minute)
-FULMARWORKS_JSON(job_class, name, priority, deadline_ms, repeatable, preempt, checkpoint_ms,
-                 retry_policy, queue_limit)
+FULMARWORKS_JSON(job_class, name, priority, deadline_ms, queue_timeout_ms, repeatable, preempt,
+                 checkpoint_ms, retry_policy, queue_limit)
 FULMARWORKS_JSON(rack_description, name, hosts, spare_hosts)
 FULMARWORKS_JSON(host_pool, name, failure_domain, racks, host_capacity, startup_ms)
 FULMARWORKS_JSON(failure_domain, name, region)
--- a/libs/model/src/configuration_document.cpp
+++ b/libs/model/src/configuration_document.cpp
@@ -41,6 +41,7 @@
     reader.read("name", object.name, true);
     reader.read_enum("urgency", object.priority);
     reader.read_duration("deadline", object.deadline_ms);
+    reader.read_duration("queue_timeout", object.queue_timeout_ms);
     reader.read("repeatable", object.repeatable);
     reader.read_enum("preemption", object.preempt);
     reader.read_duration("checkpoint_time", object.checkpoint_ms);
--- a/libs/placement/include/placement/cluster.h
+++ b/libs/placement/include/placement/cluster.h
@@ -32,6 +32,8 @@
     host_status status = host_status::off;
     /** Closed to new work by quarantine. */
     bool quarantined = false;
+    /** Limited to one task until one succeeds. */
+    bool on_probation = false;
     bool spare = false;
     int tasks = 0;
     accelerator_mask used = 0;
@@ -95,6 +97,7 @@
 
     void set_status(host_index h, host_status status);
     void set_quarantined(host_index h, bool quarantined);
+    void set_probation(host_index h, bool on_probation);
     void set_planned(host_index h, accelerator_mask planned);
     void set_claimed(host_index h, accelerator_mask claimed);
 
--- a/libs/placement/include/placement/find_placement.h
+++ b/libs/placement/include/placement/find_placement.h
@@ -15,7 +15,7 @@
     int tasks = 1;
     bool pinned = true;
     space where = space::unplanned;
-    /** Hosts on which the job failed before. */
+    /** Hosts that must not be taken, in ascending order. */
     std::span<const host_index> avoid;
     /** Takes the first host that fits instead of the best one; a baseline for benchmarks. */
     bool first_fit = false;
--- a/libs/placement/src/cluster.cpp
+++ b/libs/placement/src/cluster.cpp
@@ -118,6 +118,10 @@
     update(h, [&](host& state) { state.quarantined = quarantined; });
 }
 
+void cluster::set_probation(host_index h, bool on_probation) {
+    update(h, [&](host& state) { state.on_probation = on_probation; });
+}
+
 void cluster::set_planned(host_index h, accelerator_mask planned) {
     update(h, [&](host& state) { state.planned = planned; });
 }
--- a/libs/placement/src/find_placement.cpp
+++ b/libs/placement/src/find_placement.cpp
@@ -11,11 +11,13 @@
 constexpr int max_candidates_per_run = 128;
 
 bool is_avoided(const placement_request& request, host_index h) {
-    return std::find(request.avoid.begin(), request.avoid.end(), h) != request.avoid.end();
+    return std::binary_search(request.avoid.begin(), request.avoid.end(), h);
 }
 
 bool is_candidate(const cluster& c, const placement_request& request, host_index h) {
-    return c.has_cores(h, request.shape, request.pinned) && !is_avoided(request, h);
+    const host& state = c.hosts()[h];
+    return !(state.on_probation && state.tasks > 0) &&
+           c.has_cores(h, request.shape, request.pinned) && !is_avoided(request, h);
 }
 
 /** Returns how many tasks of the shape fit on one host. */
@@ -36,7 +38,7 @@
             std::min(free.memory_gb, state.capacity.memory_gb - state.pinned_total.memory_gb -
                                          state.capacity.memory_gb * planned / width);
     }
-    int fitting = request.tasks;
+    int fitting = state.on_probation ? 1 : request.tasks;
     if (shape.cores > 0) {
         fitting = std::min(fitting, free.cores / shape.cores);
     }
--- /dev/null
+++ b/libs/platform/src/peer_link.cpp
@@ -0,0 +1,121 @@
+#include "platform/peer_link.h"
+
+#include <algorithm>
+#include <map>
+#include <nng/nng.h>
+#include <nng/protocol/pubsub0/pub.h>
+#include <nng/protocol/pubsub0/sub.h>
+
+namespace fulmarworks {
+
+namespace {
+
+constexpr time_ms redial_after_ms = 2000;
+constexpr time_ms pause_between_redials_ms = 1000;
+
+struct followed_peer {
+    nng_dialer dialer = NNG_DIALER_INITIALIZER;
+    time_ms last_heard_at = 0;
+    time_ms dialled_at = 0;
+};
+
+} // namespace
+
+struct peer_link::impl {
+    nng_socket publisher = NNG_SOCKET_INITIALIZER;
+    nng_socket subscriber = NNG_SOCKET_INITIALIZER;
+    message_handler on_message;
+    std::map<std::string, followed_peer> peers;
+    bool open = true;
+
+    void dial(const std::string& address, followed_peer& peer) {
+        peer.dialled_at = monotonic_now();
+        nng_dial(subscriber, ("tcp://" + address).c_str(), &peer.dialer, NNG_FLAG_NONBLOCK);
+    }
+
+    void receive() {
+        while (open) {
+            char* data = nullptr;
+            std::size_t size = 0;
+            constexpr int flags = NNG_FLAG_ALLOC | NNG_FLAG_NONBLOCK;
+            if (nng_recv(subscriber, static_cast<void*>(&data), &size, flags) != 0) {
+                return;
+            }
+            const auto parsed = parse_json(std::string_view(data, size));
+            nng_free(data, size);
+            if (!parsed) {
+                continue;
+            }
+            if (const auto message = decode_json<peer_message>(parsed.value())) {
+                const auto peer = peers.find(message.value().address);
+                if (peer != peers.end()) {
+                    peer->second.last_heard_at = monotonic_now();
+                }
+                on_message(message.value());
+            }
+        }
+    }
+};
+
+result<std::unique_ptr<peer_link>> peer_link::listen(event_loop& loop, const std::string& address,
+                                                     message_handler on_message) {
+    auto i = std::make_unique<impl>();
+    i->on_message = std::move(on_message);
+    const bool opened = nng_pub0_open(&i->publisher) == 0 && nng_sub0_open(&i->subscriber) == 0 &&
+                        nng_socket_set(i->subscriber, NNG_OPT_SUB_SUBSCRIBE, "", 0) == 0 &&
+                        nng_listen(i->publisher, ("tcp://" + address).c_str(), nullptr, 0) == 0;
+    int descriptor = -1;
+    if (!opened || nng_socket_get_int(i->subscriber, NNG_OPT_RECVFD, &descriptor) != 0) {
+        nng_close(i->publisher);
+        nng_close(i->subscriber);
+        return error{error_kind::unavailable, "cannot listen on " + address,
+                     "free the port or change peer_address in the settings"};
+    }
+    impl* raw = i.get();
+    loop.on_readable(descriptor, [raw] { raw->receive(); });
+    return std::unique_ptr<peer_link>(new peer_link(std::move(i)));
+}
+
+peer_link::peer_link(std::unique_ptr<impl> i) : impl_(std::move(i)) {}
+
+peer_link::~peer_link() {
+    close();
+}
+
+void peer_link::close() {
+    if (impl_->open) {
+        impl_->open = false;
+        nng_close(impl_->publisher);
+        nng_close(impl_->subscriber);
+    }
+}
+
+void peer_link::publish(const peer_message& message) {
+    std::string text = json(message).dump();
+    nng_send(impl_->publisher, text.data(), text.size(), NNG_FLAG_NONBLOCK);
+}
+
+void peer_link::follow(std::span<const std::string> addresses) {
+    std::erase_if(impl_->peers, [&](auto& entry) {
+        if (std::find(addresses.begin(), addresses.end(), entry.first) != addresses.end()) {
+            return false;
+        }
+        nng_dialer_close(entry.second.dialer);
+        return true;
+    });
+    const time_ms now = monotonic_now();
+    for (const auto& address : addresses) {
+        const auto [entry, is_new] = impl_->peers.try_emplace(address);
+        followed_peer& peer = entry->second;
+        if (is_new) {
+            peer.last_heard_at = now;
+            impl_->dial(address, peer);
+        } else if (now > peer.last_heard_at + redial_after_ms &&
+                   now > peer.dialled_at + redial_after_ms + pause_between_redials_ms) {
+            nng_dialer_close(peer.dialer);
+            impl_->dial(address, peer);
+        }
+    }
+}
+
+} // namespace fulmarworks
--- /dev/null
+++ b/libs/policy/src/planning.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "policy/planner.h"
+
+#include <set>
+#include <tuple>
+
+namespace fulmarworks {
+
+/** Shape that did not fit earlier in a step, when there was more room. */
+using failed_shape = std::tuple<int, int, int, int, bool>;
+
+/** What the parts of one planning step share. */
+struct planning {
+    ledger_state& state;
+    planner_memory& memory;
+    time_ms now = 0;
+    const planner_options& options;
+    std::vector<record_body> records;
+    std::set<failed_shape> failed;
+    /** Guarantee cells used or claimed in this step. */
+    std::set<std::string> taken_cells;
+    /** Jobs whose stop this step asks for. */
+    std::set<std::string> stopped_jobs;
+    std::size_t placements = 0;
+    /** Accelerators of jobs that found no place. */
+    int waiting_accelerators = 0;
+};
+
+[[nodiscard]] inline bool is_stoppable(const job_class& c) {
+    return c.preempt != preemption::none;
+}
+
+[[nodiscard]] inline int total_accelerators(const job_request& r) {
+    return r.shape.accelerators * r.tasks;
+}
+
+/** Returns the expected run time that planning uses. */
+[[nodiscard]] inline time_ms planned_run_ms(const planning& p, const job& j) {
+    return p.options.learned_run_times ? expected_run_ms(p.state, j) : j.request.declared_ms;
+}
+
+} // namespace fulmarworks
--- /dev/null
+++ b/libs/protocol/include/protocol/worker.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "ledger/job.h"
+
+#include <string>
+#include <vector>
+
+/** Messages between an instance and a worker; docs/PLATFORM.md specifies them. */
+namespace fulmarworks {
+
+enum class task_operation {
+    /** Holds the accelerators for a gang member. */
+    prepare,
+    start,
+    /** Gives up a task that has not started, and promises never to start this attempt. */
+    revoke,
+    checkpoint,
+    stop,
+    /** The end of the task stands in the log; only its result is still kept. */
+    acknowledge,
+};
+
+template <>
+struct enum_names<task_operation> {
+    static constexpr enum_name<task_operation> names[] = {
+        {task_operation::prepare, "prepare"}, {task_operation::start, "start"},
+        {task_operation::revoke, "revoke"},   {task_operation::checkpoint, "checkpoint"},
+        {task_operation::stop, "stop"},       {task_operation::acknowledge, "acknowledge"}};
+};
+
+enum class task_phase { prepared, running, checkpointing, ended };
+
+template <>
+struct enum_names<task_phase> {
+    static constexpr enum_name<task_phase> names[] = {{task_phase::prepared, "prepared"},
+                                                      {task_phase::running, "running"},
+                                                      {task_phase::checkpointing, "checkpointing"},
+                                                      {task_phase::ended, "ended"}};
+};
+
+/** One idempotent order about one attempt of one task. */
+struct task_order {
+    std::string instance;
+    /** Ownership epoch of the worker's rack; lower ones than seen before are refused. */
+    std::uint64_t owner_epoch = 0;
+    /** Incarnation that the order is meant for; a restarted worker refuses it. */
+    std::uint64_t worker_incarnation = 0;
+    task_operation operation = task_operation::start;
+    std::string job;
+    int member = 0;
+    int attempt = 0;
+    block where;
+    task_shape shape;
+    std::string payload;
+    /** Run time saved by an earlier checkpoint. */
+    time_ms progress_ms = 0;
+    /** The worker stops its tasks when nobody has asked it for this long. */
+    time_ms lease_ms = 0;
+};
+
+/** What a worker says about one attempt of one task. */
+struct task_report {
+    std::string job;
+    int member = 0;
+    int attempt = 0;
+    task_phase phase = task_phase::prepared;
+    task_outcome outcome = task_outcome::none;
+    time_ms started_at = 0;
+    time_ms run_ms = 0;
+    time_ms progress_ms = 0;
+    std::string error;
+    std::string result_digest;
+    std::uint64_t result_size = 0;
+    /** The result itself where it is small. */
+    std::string result_inlined;
+};
+
+/** Whole state of a worker, sent with every answer. */
+struct worker_report {
+    std::string host;
+    std::uint64_t incarnation = 0;
+    /** Grows with every change, for long polling. */
+    std::uint64_t version = 0;
+    bool leaving = false;
+    std::uint64_t owner_epoch = 0;
+    std::vector<task_report> tasks;
+};
+
+struct host_entry {
+    std::string host;
+    std::string address;
+    /** live, leaving or off. */
+    std::string state;
+};
+
+FULMARWORKS_JSON(task_order, instance, owner_epoch, worker_incarnation, operation, job, member,
+                 attempt, where, shape, payload, progress_ms, lease_ms)
+FULMARWORKS_JSON(task_report, job, member, attempt, phase, outcome, started_at, run_ms, progress_ms,
+                 error, result_digest, result_size, result_inlined)
+FULMARWORKS_JSON(worker_report, host, incarnation, version, leaving, owner_epoch, tasks)
+FULMARWORKS_JSON(host_entry, host, address, state)
+
+} // namespace fulmarworks
