Connect the whole path: service, command line, stand-ins and demonstration

Cause: libraries alone schedule nothing; a user wants to see jobs of both deployments run. Change: the process around the reducer (HTTP API, metrics, adapters), TCLAP subcommands, stand-ins for log, host list and workers, a fault proxy, and a demo of three instances of which one is killed.

--- a/build.sh
+++ b/build.sh
@@ -70,7 +70,7 @@
 deps) install_packages ;;
 build) build "$@" ;;
 test) run_tests "$@" ;;
-demo) build && exec tests/demo.sh "$BUILD_DIR" "${1:-vormpulp}" ;;
+demo) build && exec "$BUILD_DIR/tests/demo/demo" "${1:-vormpulp}" ;;
 bench) build && exec benchmarks/run.sh "$BUILD_DIR" "$@" ;;
 soak) build && exec "$BUILD_DIR/tests/fault_soak" "$@" ;;
 format) sources | xargs clang-format -i ;;
--- a/libs/instance/include/instance/event.h
+++ b/libs/instance/include/instance/event.h
@@ -30,6 +30,9 @@
 
 struct tick {};
 
+/** A lane of the append queue may send again. */
+struct appends_due {};
+
 /** A snapshot was read, or there is none (empty text). */
 struct snapshot_loaded {
     std::string text;
@@ -120,10 +123,10 @@
 
 struct shutdown_requested {};
 
-using event = std::variant<tick, snapshot_loaded, snapshot_load_failed, log_records, log_trimmed,
-                           log_read_failed, append_acknowledged, append_unknown, snapshot_written,
-                           host_list_read, worker_answered, worker_failed, peer_heard,
-                           caller_submitted, caller_asked, caller_cancelled, caller_published,
-                           caller_gone, result_missing, shutdown_requested>;
+using event = std::variant<tick, appends_due, snapshot_loaded, snapshot_load_failed, log_records,
+                           log_trimmed, log_read_failed, append_acknowledged, append_unknown,
+                           snapshot_written, host_list_read, worker_answered, worker_failed,
+                           peer_heard, caller_submitted, caller_asked, caller_cancelled,
+                           caller_published, caller_gone, result_missing, shutdown_requested>;
 
 } // namespace fulmarworks
--- a/libs/instance/src/reduce.cpp
+++ b/libs/instance/src/reduce.cpp
@@ -34,6 +34,8 @@
     finish_shutdown(c);
 }
 
+void handle(context&, const appends_due&) {}
+
 void handle(context& c, const shutdown_requested&) {
     instance_state& s = c.state;
     if (s.phase == instance_phase::leaving || s.phase == instance_phase::stopped) {
--- /dev/null
+++ b/libs/service/src/instance_service.cpp
@@ -0,0 +1,228 @@
+#include "service/instance_service.h"
+
+#include "api_router.h"
+#include "base/log_line.h"
+#include "http/http_client.h"
+#include "platform/log_client.h"
+#include "platform/peer_link.h"
+#include "service/metrics.h"
+
+namespace fulmarworks {
+
+namespace {
+
+constexpr time_ms tick_interval_ms = 50;
+constexpr time_ms log_poll_wait_ms = 1000;
+
+event_time current_time() {
+    return {monotonic_now(), wall_now()};
+}
+
+} // namespace
+
+struct instance_service::impl {
+    event_loop& loop;
+    service_settings settings;
+    http_client client;
+    log_client log;
+    worker_client workers;
+    std::unique_ptr<http_server> server;
+    std::unique_ptr<peer_link> peers;
+    instance_state state;
+    time_ms wake_at = 0;
+
+    impl(event_loop& l, const service_settings& s)
+        : loop(l), settings(s), client(l), log(client, s.log_address, s.log_stream),
+          workers(client, s.host_list_address) {}
+
+    void handle(const event& e) {
+        effect_list effects;
+        reduce(state, current_time(), e, effects);
+        perform_all(effects);
+        wake_for_appends();
+    }
+
+    void perform_all(const effect_list& effects) {
+        for (const auto& e : effects) {
+            std::visit([this](const auto& body) { perform(body); }, e);
+        }
+    }
+
+    /** Comes back when a lane may append again, which is sooner than the next tick. */
+    void wake_for_appends() {
+        const time_ms now = monotonic_now();
+        for (const auto* lane : {&state.urgent, &state.bulk}) {
+            const bool waits =
+                !lane->awaiting_answer && (!lane->queue.empty() || !lane->in_flight.empty());
+            if (!waits || (wake_at > now && wake_at <= lane->next_append_at)) {
+                continue;
+            }
+            wake_at = std::max(lane->next_append_at, now + 1);
+            loop.after(wake_at - now, [this] { handle(appends_due{}); });
+        }
+    }
+
+    void perform(const load_snapshot&) {
+        log.load_snapshot([this](const stored_snapshot& s) {
+            if (s.answered) {
+                handle(snapshot_loaded{s.text});
+            } else {
+                handle(snapshot_load_failed{});
+            }
+        });
+    }
+
+    void perform(const read_log& e) {
+        const time_ms delay = e.not_before - monotonic_now();
+        if (delay > 0) {
+            loop.after(delay, [this, from = e.from] { read(from); });
+        } else {
+            read(e.from);
+        }
+    }
+
+    void read(std::uint64_t from) {
+        log.read(from, log_poll_wait_ms, [this](const log_page& page) {
+            switch (page.status) {
+            case log_status::ok:
+                handle(log_records{page.first_offset, page.records, page.tail});
+                return;
+            case log_status::trimmed: handle(log_trimmed{}); return;
+            case log_status::unknown: handle(log_read_failed{}); return;
+            }
+        });
+    }
+
+    void perform(const append_batch& e) {
+        const time_ms timeout = settings.instance.limits.append_timeout_ms;
+        log.append(e.texts, timeout, [this, lane = e.lane, batch = e.batch](log_status status) {
+            if (status == log_status::ok) {
+                handle(append_acknowledged{lane, batch});
+            } else {
+                handle(append_unknown{lane, batch});
+            }
+        });
+    }
+
+    void perform(const write_snapshot& e) {
+        log_line(log_level::info, "snapshot_started")
+            .field("offset", static_cast<long long>(e.next_offset))
+            .field("bytes", static_cast<long long>(e.text.size()));
+        log.write_snapshot(e.next_offset, e.text,
+                           [this](bool succeeded) { handle(snapshot_written{succeeded}); });
+    }
+
+    void perform(const read_host_list&) {
+        workers.list_hosts([this](const std::optional<std::vector<host_entry>>& hosts) {
+            if (hosts) {
+                handle(host_list_read{*hosts});
+            }
+        });
+    }
+
+    worker_client::report_handler on_report(const std::string& host, bool was_poll) {
+        return [this, host, was_poll](const std::optional<worker_report>& report) {
+            if (report && report->host == host) {
+                handle(worker_answered{host, *report, was_poll});
+            } else {
+                handle(worker_failed{host, was_poll});
+            }
+        };
+    }
+
+    void perform(const poll_worker& e) {
+        workers.poll(e.address, e.seen_version, e.wait_ms, e.lease_ms, on_report(e.host, true));
+    }
+
+    void perform(const send_order& e) {
+        log_line(log_level::info, "order_sent")
+            .field("host", e.host)
+            .field("operation", to_string(e.order.operation))
+            .field("job", e.order.job)
+            .field("member", e.order.member)
+            .field("attempt", e.order.attempt);
+        workers.send(e.address, e.order, on_report(e.host, false));
+    }
+
+    void perform(const request_power& e) {
+        log_line(log_level::info, "power_requested").field("host", e.host).field("on", e.on);
+        workers.request_power(e.host, e.on);
+    }
+
+    void perform(const announce& e) {
+        peers->follow(e.peers);
+        peers->publish(e.message);
+    }
+
+    void perform(const reply& e) {
+        std::string body = e.body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+        server->respond(e.token, {e.status, std::move(body), "application/json", e.retry_after_ms});
+    }
+
+    void perform(const exit_process&) {
+        log_line(log_level::info, "instance_stopped").field("name", settings.instance.name);
+        // A moment for the last answers to leave the socket buffers.
+        constexpr time_ms flush_ms = 50;
+        loop.after(flush_ms, [this] { loop.stop(); });
+    }
+
+    result<bool> listen() {
+        auto built =
+            http_server::Builder()
+                .address(settings.instance.api_address)
+                .max_body_bytes(settings.instance.limits.max_body_bytes)
+                .on_request([this](const http_request& r, std::uint64_t token) { route(r, token); })
+                .on_gone([this](std::uint64_t token) { handle(caller_gone{token}); })
+                .build(loop);
+        if (!built) {
+            return built.error();
+        }
+        server = std::move(built.value());
+        auto linked = peer_link::listen(loop, settings.instance.peer_address,
+                                        [this](const peer_message& m) { handle(peer_heard{m}); });
+        if (!linked) {
+            return linked.error();
+        }
+        peers = std::move(linked.value());
+        return true;
+    }
+
+    void route(const http_request& r, std::uint64_t token) {
+        router_context c = {state, *server, workers, [this](const event& e) { handle(e); },
+                            [this] { return render_metrics(state, client.bytes_transferred()); }};
+        route_request(c, r, token);
+    }
+};
+
+result<std::unique_ptr<instance_service>>
+instance_service::start(event_loop& loop, const service_settings& settings) {
+    auto i = std::make_unique<impl>(loop, settings);
+    const auto listening = i->listen();
+    if (!listening) {
+        return listening.error();
+    }
+    instance_settings own = settings.instance;
+    own.incarnation = static_cast<std::uint64_t>(wall_now());
+    effect_list effects;
+    i->state = start_instance(own, current_time(), effects);
+    i->perform_all(effects);
+    impl* raw = i.get();
+    loop.every(tick_interval_ms, [raw] { raw->handle(tick{}); });
+    log_line(log_level::info, "instance_started")
+        .field("name", own.name)
+        .field("incarnation", static_cast<long long>(own.incarnation))
+        .field("api_address", own.api_address);
+    return std::unique_ptr<instance_service>(new instance_service(std::move(i)));
+}
+
+instance_service::instance_service(std::unique_ptr<impl> i) : impl_(std::move(i)) {}
+
+instance_service::~instance_service() = default;
+
+void instance_service::shut_down() {
+    log_line(log_level::info, "shutdown_requested").field("name", impl_->settings.instance.name);
+    impl_->server->stop_listening();
+    impl_->handle(shutdown_requested{});
+}
+
+} // namespace fulmarworks
--- /dev/null
+++ b/libs/service/src/service_settings.cpp
@@ -0,0 +1,132 @@
+#include "service/service_settings.h"
+
+#include "http/http_server.h"
+
+#include <set>
+#include <yaml-cpp/yaml.h>
+
+namespace fulmarworks {
+
+namespace {
+
+/** Reads a flat YAML mapping and collects what is wrong with it. */
+class settings_reader {
+public:
+    settings_reader(const YAML::Node& node, std::string& faults) : node_(node), faults_(faults) {}
+
+    void text(const char* key, std::string& value, bool required) {
+        read(key, value);
+        if (required && value.empty()) {
+            add_fault(std::string(key) + " is missing");
+        }
+    }
+
+    void address(const char* key, std::string& value) {
+        text(key, value, true);
+        if (!value.empty() && !parse_address(value)) {
+            add_fault(std::string(key) + " is not IP:PORT");
+        }
+    }
+
+    template <class Number>
+    void positive(const char* key, Number& value) {
+        read(key, value);
+        if (value <= 0) {
+            add_fault(std::string(key) + " must be above 0");
+        }
+    }
+
+    void finish() {
+        for (const auto& entry : node_) {
+            const auto name = entry.first.as<std::string>();
+            if (!known_.contains(name)) {
+                add_fault("unknown setting '" + name + "'");
+            }
+        }
+    }
+
+private:
+    template <class T>
+    void read(const char* key, T& value) {
+        known_.insert(key);
+        if (!node_[key].IsDefined()) {
+            return;
+        }
+        try {
+            value = node_[key].as<T>();
+        } catch (const YAML::Exception&) {
+            add_fault(std::string(key) + " has the wrong type");
+        }
+    }
+
+    void add_fault(const std::string& fault) { faults_ += faults_.empty() ? fault : ", " + fault; }
+
+    const YAML::Node node_;
+    std::string& faults_;
+    std::set<std::string> known_;
+};
+
+void read_limits(settings_reader& reader, instance_limits& limits) {
+    reader.positive("max_pending_records", limits.max_pending_records);
+    reader.positive("max_batch_records", limits.max_batch_records);
+    reader.positive("urgent_append_interval_ms", limits.urgent_append_interval_ms);
+    reader.positive("bulk_append_interval_ms", limits.bulk_append_interval_ms);
+    reader.positive("append_timeout_ms", limits.append_timeout_ms);
+    reader.positive("log_silence_ms", limits.log_silence_ms);
+    reader.positive("worker_poll_wait_ms", limits.worker_poll_wait_ms);
+    reader.positive("worker_timeout_ms", limits.worker_timeout_ms);
+    reader.positive("worker_lease_ms", limits.worker_lease_ms);
+    reader.positive("announce_interval_ms", limits.announce_interval_ms);
+    reader.positive("peer_timeout_ms", limits.peer_timeout_ms);
+    reader.positive("suspicion_timeout_ms", limits.suspicion_timeout_ms);
+    reader.positive("shutdown_limit_ms", limits.shutdown_limit_ms);
+    reader.positive("max_wait_ms", limits.max_wait_ms);
+    reader.positive("max_waiting_callers", limits.max_waiting_callers);
+    reader.positive("snapshot_interval_records", limits.snapshot_interval_records);
+    reader.positive("snapshot_interval_ms", limits.snapshot_interval_ms);
+    reader.positive("max_payload_bytes", limits.max_payload_bytes);
+    reader.positive("max_body_bytes", limits.max_body_bytes);
+}
+
+void check_intervals(const instance_limits& limits, std::string& faults) {
+    if (limits.worker_poll_wait_ms >= limits.worker_timeout_ms ||
+        limits.worker_timeout_ms >= limits.worker_lease_ms) {
+        faults += faults.empty() ? "" : ", ";
+        faults += "worker_poll_wait_ms < worker_timeout_ms < worker_lease_ms must hold";
+    }
+}
+
+} // namespace
+
+result<service_settings> parse_service_settings(std::string_view yaml) {
+    service_settings settings;
+    std::string faults;
+    try {
+        const YAML::Node root = YAML::Load(std::string(yaml));
+        if (!root.IsMap()) {
+            return error{error_kind::invalid_argument, "the settings are not a mapping",
+                         "write key: value pairs as in docs/OPERATORS.md"};
+        }
+        settings_reader reader(root, faults);
+        reader.text("name", settings.instance.name, true);
+        reader.text("failure_domain", settings.instance.failure_domain, true);
+        reader.address("api_address", settings.instance.api_address);
+        reader.address("peer_address", settings.instance.peer_address);
+        reader.address("log_address", settings.log_address);
+        reader.text("log_stream", settings.log_stream, true);
+        reader.address("host_list_address", settings.host_list_address);
+        read_limits(reader, settings.instance.limits);
+        reader.finish();
+    } catch (const YAML::Exception& e) {
+        return error{error_kind::invalid_argument,
+                     std::string("the settings are not YAML: ") + e.what(), "correct the syntax"};
+    }
+    check_intervals(settings.instance.limits, faults);
+    if (!faults.empty()) {
+        return error{error_kind::invalid_argument, "faulty settings: " + faults,
+                     "correct them as described in docs/OPERATORS.md"};
+    }
+    return settings;
+}
+
+} // namespace fulmarworks
