--- a/libs/platform/src/worker_client.cpp
+++ b/libs/platform/src/worker_client.cpp
@@ -22,12 +22,6 @@
     return decoded ? std::optional<T>(decoded.value()) : std::nullopt;
 }
 
-struct host_list_answer {
-    std::vector<host_entry> hosts;
-};
-
-FULMARWORKS_JSON(host_list_answer, hosts)
-
 std::string encoded(std::string_view text) {
     static constexpr char digits[] = "0123456789ABCDEF";
     std::string result;
--- a/libs/protocol/include/protocol/worker.h
+++ b/libs/protocol/include/protocol/worker.h
@@ -93,11 +93,16 @@
     std::string state;
 };
 
+struct host_list_answer {
+    std::vector<host_entry> hosts;
+};
+
 FULMARWORKS_JSON(task_order, instance, owner_epoch, worker_incarnation, operation, job, member,
                  attempt, where, shape, payload, progress_ms, lease_ms)
 FULMARWORKS_JSON(task_report, job, member, attempt, phase, outcome, started_at, run_ms, progress_ms,
                  error, result_digest, result_size, result_inlined)
 FULMARWORKS_JSON(worker_report, host, incarnation, version, leaving, owner_epoch, tasks)
 FULMARWORKS_JSON(host_entry, host, address, state)
+FULMARWORKS_JSON(host_list_answer, hosts)
 
 } // namespace fulmarworks
