Reservations no longer block one another, and failed hosts are a preference

State dump: each held a dated reservation on the same two free hosts and gave way to the other two. Ruled out: the plan (feasible), placement (found room), quarantine (none). Change: a job gives way only to reservations made before its own; hosts on which it failed are avoided first and taken when nothing else fits.

--- a/libs/policy/include/policy/planner.h
+++ b/libs/policy/include/policy/planner.h
@@ -29,6 +29,8 @@
     std::vector<host_index> hosts;
     time_ms start_at = 0;
     time_ms made_at = 0;
+    /** Order in which reservations were first made; a job gives way only to lower ranks. */
+    std::uint64_t rank = 0;
 };
 
 /**
@@ -37,6 +39,7 @@
  */
 struct planner_memory {
     std::map<std::string, dated_reservation> reservations;
+    std::uint64_t next_reservation_rank = 1;
     /** When work was last stopped for a waiting job. */
     std::map<std::string, time_ms> preempted_for;
     /** Since when a spare host has had nothing to do. */
--- a/libs/policy/src/planner.cpp
+++ b/libs/policy/src/planner.cpp
@@ -84,8 +84,8 @@
     return {s.accelerators, s.cores, s.memory_gb, j.request.tasks, stoppable};
 }
 
-std::optional<chosen_place> place_in_shared_space(planning& p, const job& j, bool stoppable) {
-    const auto avoid = reserved_hosts(p, j);
+std::optional<chosen_place> place_avoiding(const planning& p, const job& j, bool stoppable,
+                                           std::span<const host_index> avoid) {
     placement_request request = {j.request.shape,  j.request.tasks, !stoppable,
                                  space::unplanned, avoid,           p.options.first_fit};
     if (auto blocks = find_placement(p.state.hosts, request)) {
@@ -101,6 +101,21 @@
     return std::nullopt;
 }
 
+/** Prefers hosts on which the job has not failed, but does not wait for them. */
+std::optional<chosen_place> place_in_shared_space(const planning& p, const job& j, bool stoppable) {
+    const auto reserved = reserved_hosts(p, j);
+    if (j.failed_hosts.empty()) {
+        return place_avoiding(p, j, stoppable, reserved);
+    }
+    auto avoid = reserved;
+    avoid.insert(avoid.end(), j.failed_hosts.begin(), j.failed_hosts.end());
+    std::sort(avoid.begin(), avoid.end());
+    if (auto place = place_avoiding(p, j, stoppable, avoid)) {
+        return place;
+    }
+    return place_avoiding(p, j, stoppable, reserved);
+}
+
 std::optional<chosen_place> choose_place(planning& p, const job& j, bool stoppable) {
     if (auto place = place_in_own_cell(p, j, true)) {
         return place;
--- a/libs/policy/src/reservation.cpp
+++ b/libs/policy/src/reservation.cpp
@@ -68,7 +68,11 @@
 } // namespace
 
 void reserve_for(planning& p, const job& j) {
-    if (p.memory.reservations.contains(j.id) || p.memory.reservations.size() >= max_reservations) {
+    auto& reservations = p.memory.reservations;
+    const auto known = reservations.find(j.id);
+    const bool is_new = known == reservations.end();
+    if (is_new ? reservations.size() >= max_reservations
+               : p.now < known->second.made_at + renewal_ms) {
         return;
     }
     const auto& racks = p.state.hosts.racks();
@@ -82,15 +86,19 @@
     }
     if (!best.hosts.empty()) {
         best.made_at = p.now;
-        p.memory.reservations.emplace(j.id, std::move(best));
+        best.rank = is_new ? p.memory.next_reservation_rank++ : known->second.rank;
+        reservations[j.id] = std::move(best);
     }
 }
 
 std::vector<host_index> reserved_hosts(const planning& p, const job& j) {
-    std::vector<host_index> hosts = j.failed_hosts;
+    std::vector<host_index> hosts;
+    const auto& reservations = p.memory.reservations;
+    const auto own = reservations.find(j.id);
     const time_ms end = p.now + planned_run_ms(p, j);
-    for (const auto& [id, reservation] : p.memory.reservations) {
-        if (id != j.id && end > reservation.start_at) {
+    for (const auto& [id, reservation] : reservations) {
+        const bool goes_first = own == reservations.end() || reservation.rank < own->second.rank;
+        if (id != j.id && goes_first && end > reservation.start_at) {
             hosts.insert(hosts.end(), reservation.hosts.begin(), reservation.hosts.end());
         }
     }
@@ -101,8 +109,7 @@
 void expire_reservations(planning& p) {
     std::erase_if(p.memory.reservations, [&](const auto& entry) {
         const job* j = find_job(p.state, entry.first);
-        return j == nullptr || j->phase != job_phase::queued ||
-               entry.second.made_at + renewal_ms < p.now;
+        return j == nullptr || j->phase != job_phase::queued;
     });
 }
 
--- a/libs/policy/src/reservation.h
+++ b/libs/policy/src/reservation.h
@@ -7,10 +7,10 @@
 /** Keeps hosts for a large job that found no place, from the date at which they will be free. */
 void reserve_for(planning& p, const job& j);
 
-/** Returns the hosts that a job must leave to reservations, in ascending order. */
+/** Returns the hosts that a job must leave to earlier reservations, in ascending order. */
 [[nodiscard]] std::vector<host_index> reserved_hosts(const planning& p, const job& j);
 
-/** Drops reservations of jobs that no longer wait, and those due for renewal. */
+/** Drops reservations of jobs that no longer wait. */
 void expire_reservations(planning& p);
 
 } // namespace fulmarworks
