--- a/benchmarks/policy/policy_bench.cpp
+++ b/benchmarks/policy/policy_bench.cpp
@@ -35,6 +35,7 @@
     planner_options fcfs;
     fcfs.urgent_first = fcfs.fair_share = fcfs.reservations = fcfs.backfill = false;
     fcfs.preempt_for_urgent = fcfs.reclaim = fcfs.learned_run_times = false;
+    fcfs.urgent_headroom = fcfs.consolidate = fcfs.spare_guarantees = fcfs.defragment = false;
     fcfs.first_fit = true;
     planner_options fcfs_skip = fcfs;
     fcfs_skip.backfill = true;
@@ -53,6 +54,10 @@
             {"without-learned-times", without(&planner_options::learned_run_times)},
             {"without-fair-share", without(&planner_options::fair_share)},
             {"without-backfill", without(&planner_options::backfill)},
+            {"without-headroom", without(&planner_options::urgent_headroom)},
+            {"without-consolidation", without(&planner_options::consolidate)},
+            {"without-defragmentation", without(&planner_options::defragment)},
+            {"without-sparing-guarantees", without(&planner_options::spare_guarantees)},
             {"with-first-fit", first_fit}};
 }
 
@@ -145,7 +150,10 @@
             std::ostream& csv) {
     const urgent_figures urgent = urgent_of(d, r, end);
     std::vector<double> reclaims(r.reclaim_ms.begin(), r.reclaim_ms.end());
-    const auto preempted = r.counters.find("preempted.urgent_work");
+    const auto count_of = [&](const char* name) {
+        const auto found = r.counters.find(name);
+        return found == r.counters.end() ? std::uint64_t{0} : found->second;
+    };
     std::cout << std::fixed << std::setprecision(3) << d.name << " " << v.name << "\n"
               << "    urgent start p50 " << urgent.start_p50 << " ms, p99 " << urgent.start_p99
               << " ms, late " << urgent.late << " of " << urgent.total << "\n"
@@ -154,9 +162,8 @@
               << ", accelerator hours done " << r.done_accelerator_hours << ", lost "
               << r.lost_accelerator_hours << "\n    reclaims " << reclaims.size() << " p99 "
               << percentile(reclaims, 0.99) << " ms, plan infeasible " << r.plan_infeasible_ms
-              << " ms, stopped for urgent work "
-              << (preempted == r.counters.end() ? 0 : preempted->second) << ", unfinished "
-              << r.unfinished << "\n";
+              << " ms, stopped for urgent work " << count_of("preempted.urgent_work") << ", moved "
+              << count_of("preempted.consolidated") << ", unfinished " << r.unfinished << "\n";
     csv << d.name << "," << v.name << "," << urgent.start_p50 << "," << urgent.start_p99 << ","
         << urgent.late << "," << urgent.total << "," << r.fragmentation << "," << r.idle_share
         << "," << r.host_hours_on << "," << r.done_accelerator_hours << ","
@@ -204,11 +211,12 @@
 
 } // namespace
 
-/** Usage: policy_bench CSV [MINUTES [VARIANT]] */
+/** Usage: policy_bench CSV [MINUTES [LOAD [VARIANT]]] */
 int main(int argc, char** argv) {
     std::ofstream csv(argc > 1 ? argv[1] : "policy.csv");
     const time_ms minutes = argc > 2 ? std::atol(argv[2]) : 120;
-    const std::string only = argc > 3 ? argv[3] : "";
+    const double load = argc > 3 ? std::atof(argv[3]) : 0.9;
+    const std::string only = argc > 4 ? argv[4] : "";
     csv << "deployment,variant,urgent_start_p50_ms,urgent_start_p99_ms,urgent_late,urgent_total,"
            "fragmentation,idle_share,host_hours_on,accelerator_hours_done,accelerator_hours_lost,"
            "reclaim_p99_ms,plan_infeasible_ms,classes\n";
@@ -217,6 +225,7 @@
         {"kopjeskraal", kopjeskraal_workload(), {"preview", "quote"}}};
     for (auto& d : deployments) {
         d.workload.duration_ms = minutes * milliseconds_per_minute;
+        d.workload.load = load;
         for (const auto& v : variants()) {
             if (!only.empty() && only != v.name) {
                 continue;
--- a/benchmarks/policy/policy_driver.cpp
+++ b/benchmarks/policy/policy_driver.cpp
@@ -16,6 +16,8 @@
 constexpr time_ms idle_plan_interval_ms = 250;
 constexpr time_ms sample_interval_ms = 1000;
 constexpr time_ms startup_ms = 60000;
+/** Averages over time leave out this part of the run, in which the hosts fill. */
+constexpr time_ms warm_up_divisor = 4;
 
 } // namespace
 
@@ -217,7 +219,9 @@
             next_plan = now_ + plan_interval_ms;
         }
         if (now_ >= next_sample) {
-            sample(sample_interval_ms);
+            if (now_ >= run_.end / warm_up_divisor) {
+                sample(sample_interval_ms);
+            }
             next_sample = now_ + sample_interval_ms;
         }
     }
--- a/libs/instance/src/job_report.cpp
+++ b/libs/instance/src/job_report.cpp
@@ -25,6 +25,7 @@
     case job_reason::result_lost: return "the holder of the result was lost; it is run again";
     case job_reason::reclaimed: return "stopped so that a guarantee could be reclaimed";
     case job_reason::urgent_work: return "stopped for urgent work";
+    case job_reason::consolidated: return "moved so that large jobs find adjacent accelerators";
     case job_reason::start_refused: return "the worker refused the start; it is placed again";
     }
     return "";
--- a/libs/ledger/include/ledger/job.h
+++ b/libs/ledger/include/ledger/job.h
@@ -63,6 +63,7 @@
     result_lost,
     reclaimed,
     urgent_work,
+    consolidated,
     start_refused,
 };
 
@@ -83,6 +84,7 @@
         {job_reason::result_lost, "result_lost"},
         {job_reason::reclaimed, "reclaimed"},
         {job_reason::urgent_work, "urgent_work"},
+        {job_reason::consolidated, "consolidated"},
         {job_reason::start_refused, "start_refused"}};
 };
 
@@ -155,6 +157,8 @@
     /** Whether some task of it was, or may have been, started. */
     bool may_have_run = false;
     bool pinned = false;
+    /** Whether its class was urgent when it was placed. */
+    bool placed_urgent = false;
     /** Guarantee cell in which it runs, if any. */
     std::string cell;
     std::vector<job_member> members;
@@ -176,9 +180,10 @@
 };
 
 FULMARWORKS_JSON(job, id, request, request_digest, submit_offset, submitted_at, phase, reason,
-                 attempt, cancel_requested, may_have_run, pinned, cell, members, stopped_for,
-                 checkpoint_first, stop_requested_at, progress_ms, not_before, placed_at,
-                 started_at, ended_at, error, lost_attempts, failed_hosts, result, history)
+                 attempt, cancel_requested, may_have_run, pinned, placed_urgent, cell, members,
+                 stopped_for, checkpoint_first, stop_requested_at, progress_ms, not_before,
+                 placed_at, started_at, ended_at, error, lost_attempts, failed_hosts, result,
+                 history)
 
 /** Returns whether a gang's members may start: all are ready, or there is only one. */
 [[nodiscard]] inline bool may_start(const job& j) {
--- a/libs/ledger/include/ledger/record.h
+++ b/libs/ledger/include/ledger/record.h
@@ -89,6 +89,12 @@
     std::string cell;
 };
 
+/** Checkpoints work and places it again elsewhere, so that whole hosts come free. */
+struct jobs_moved {
+    static constexpr std::string_view kind = "jobs_moved";
+    std::vector<preemption_target> targets;
+};
+
 /** Members of a gang that their workers hold ready to start. */
 struct members_ready {
     static constexpr std::string_view kind = "members_ready";
@@ -141,7 +147,7 @@
 
 using record_body = std::variant<instance_joined, instance_suspected, instance_alive, instance_left,
                                  config_published, job_submitted, cancel_requested, job_expired,
-                                 job_placed, jobs_preempted, members_ready, task_ended,
+                                 job_placed, jobs_preempted, jobs_moved, members_ready, task_ended,
                                  host_reported, host_power_requested, result_lost, time_noted>;
 
 FULMARWORKS_JSON(instance_joined, name, incarnation, api_address, peer_address, failure_domain)
@@ -155,6 +161,7 @@
 FULMARWORKS_JSON(job_placed, job, attempt, blocks, cell, why)
 FULMARWORKS_JSON(preemption_target, job, attempt, checkpoint_first)
 FULMARWORKS_JSON(jobs_preempted, targets, for_job, cell)
+FULMARWORKS_JSON(jobs_moved, targets)
 FULMARWORKS_JSON(members_ready, job, attempt, members)
 FULMARWORKS_JSON(task_ended, job, attempt, member, host_incarnation, outcome, started_at, run_ms,
                  progress_ms, error, result)
--- a/libs/ledger/include/ledger/state.h
+++ b/libs/ledger/include/ledger/state.h
@@ -123,6 +123,8 @@
     std::map<std::string, std::set<queue_entry>> queues;
     std::map<std::string, int> queued_by_class;
     std::map<std::string, account_usage> usage;
+    /** Accelerators that urgent work holds. */
+    int urgent_accelerators = 0;
     std::set<std::pair<time_ms, std::string>> finished;
     std::vector<std::set<std::string>> jobs_by_host;
     std::set<std::pair<time_ms, host_index>> quarantined;
--- a/libs/ledger/src/apply_jobs.cpp
+++ b/libs/ledger/src/apply_jobs.cpp
@@ -99,6 +99,20 @@
     return c != nullptr && c->preempt != preemption::none;
 }
 
+void preempt(fold& f, const preemption_target& target, const std::string& for_job,
+             job_reason reason) {
+    const auto victim = f.state.jobs.find(target.job);
+    if (victim == f.state.jobs.end() || victim->second.attempt != target.attempt ||
+        victim->second.phase != job_phase::placed || !is_preemptible(f.state, victim->second)) {
+        count(f, "dropped.stale_preemption");
+        return;
+    }
+    victim->second.checkpoint_first = target.checkpoint_first;
+    victim->second.stopped_for = for_job;
+    count(f, "preempted." + std::string(to_string(reason)));
+    begin_stopping(f, victim->second, reason);
+}
+
 } // namespace
 
 void handle(fold& f, const job_submitted& r) {
@@ -177,6 +191,8 @@
     }
     dequeue(f.state, *j);
     clear_claims(f.state, j->id);
+    const job_class* c = class_of(f.state, *j);
+    j->placed_urgent = c != nullptr && c->priority == urgency::urgent;
     j->attempt = r.attempt;
     j->phase = job_phase::placed;
     j->reason = job_reason::none;
@@ -214,16 +230,13 @@
     }
     const job_reason reason = r.cell.empty() ? job_reason::urgent_work : job_reason::reclaimed;
     for (const auto& target : r.targets) {
-        const auto victim = s.jobs.find(target.job);
-        if (victim == s.jobs.end() || victim->second.attempt != target.attempt ||
-            victim->second.phase != job_phase::placed || !is_preemptible(s, victim->second)) {
-            count(f, "dropped.stale_preemption");
-            continue;
-        }
-        victim->second.checkpoint_first = target.checkpoint_first;
-        victim->second.stopped_for = r.for_job;
-        count(f, "preempted." + std::string(to_string(reason)));
-        begin_stopping(f, victim->second, reason);
+        preempt(f, target, r.for_job, reason);
+    }
+}
+
+void handle(fold& f, const jobs_moved& r) {
+    for (const auto& target : r.targets) {
+        preempt(f, target, "", job_reason::consolidated);
     }
 }
 
--- a/libs/ledger/src/fold.h
+++ b/libs/ledger/src/fold.h
@@ -35,6 +35,7 @@
 void handle(fold& f, const job_expired& r);
 void handle(fold& f, const job_placed& r);
 void handle(fold& f, const jobs_preempted& r);
+void handle(fold& f, const jobs_moved& r);
 void handle(fold& f, const members_ready& r);
 void handle(fold& f, const task_ended& r);
 void handle(fold& f, const host_reported& r);
--- a/libs/placement/include/placement/cluster.h
+++ b/libs/placement/include/placement/cluster.h
@@ -61,6 +61,8 @@
     std::string failure_domain;
     std::vector<rack_index> racks;
     int free_accelerators = 0;
+    /** Free accelerators that no guarantee needs. */
+    int free_unplanned = 0;
 };
 
 /** Which free accelerators a placement may take. */
--- a/libs/placement/include/placement/find_placement.h
+++ b/libs/placement/include/placement/find_placement.h
@@ -19,6 +19,11 @@
     std::span<const host_index> avoid;
     /** Takes the first host that fits instead of the best one; a baseline for benchmarks. */
     bool first_fit = false;
+    /**
+     * Fills hosts that are in use in a fixed order rather than by shortest run, so that the last
+     * ones of the order drain and whole hosts and racks come free.
+     */
+    bool consolidate = false;
 };
 
 /**
--- a/libs/placement/src/cluster.cpp
+++ b/libs/placement/src/cluster.cpp
@@ -84,6 +84,7 @@
     buckets(state.pool, space::unclaimed)[runs.unclaimed].erase(h);
     racks_[state.rack].free_accelerators -= free_count(state);
     pools_[state.pool].free_accelerators -= free_count(state);
+    pools_[state.pool].free_unplanned -= std::popcount(available(h, space::unplanned));
     racks_[state.rack].empty_hosts -= state.tasks == 0 ? 1 : 0;
     runs = {};
 }
@@ -100,6 +101,7 @@
     buckets(state.pool, space::unclaimed)[runs.unclaimed].insert(h);
     racks_[state.rack].free_accelerators += free_count(state);
     pools_[state.pool].free_accelerators += free_count(state);
+    pools_[state.pool].free_unplanned += std::popcount(available(h, space::unplanned));
     racks_[state.rack].empty_hosts += state.tasks == 0 ? 1 : 0;
 }
 
--- a/libs/placement/src/find_placement.cpp
+++ b/libs/placement/src/find_placement.cpp
@@ -249,8 +249,42 @@
     return best;
 }
 
+constexpr int longest = 64;
+
+std::optional<host_index> first_in_bucket(const cluster& c, const placement_request& request,
+                                          const std::set<host_index>& bucket) {
+    int looked_at = 0;
+    for (const host_index h : bucket) {
+        if (++looked_at > max_candidates_per_run) {
+            break;
+        }
+        if (c.hosts()[h].tasks > 0 && is_candidate(c, request, h)) {
+            return h;
+        }
+    }
+    return std::nullopt;
+}
+
+/** Returns the first host in use, in order of index, that has a long enough run. */
+std::optional<host_index> first_in_use(const cluster& c, const placement_request& request) {
+    std::optional<host_index> first;
+    for (pool_index p = 0; p < c.pools().size(); ++p) {
+        for (int run = request.shape.accelerators; run <= longest; ++run) {
+            const auto h = first_in_bucket(c, request, c.hosts_with_run(p, request.where, run));
+            if (h && (!first || *h < *first)) {
+                first = h;
+            }
+        }
+    }
+    return first;
+}
+
 std::optional<block> place_single(const cluster& c, const placement_request& request) {
-    constexpr int longest = 64;
+    if (request.consolidate) {
+        if (const auto h = first_in_use(c, request)) {
+            return place_on(c, request, *h, c.available(*h, request.where));
+        }
+    }
     for (int run = request.shape.accelerators; run <= longest; ++run) {
         for (pool_index p = 0; p < c.pools().size(); ++p) {
             const auto& bucket = c.hosts_with_run(p, request.where, run);
--- a/libs/placement/tests/placement_test.cpp
+++ b/libs/placement/tests/placement_test.cpp
@@ -78,7 +78,7 @@
 TEST_CASE("a small task fills a broken host and leaves empty hosts whole") {
     cluster c = make_cluster(2, 4);
     c.occupy({5, 0, 6}, {6, 6, 6}, true);
-    const auto placed = find_placement(c, {{2, 2, 2}, 1, true, space::unplanned, {}, false});
+    const auto placed = find_placement(c, {{2, 2, 2}, 1, true, space::unplanned, {}, false, false});
     REQUIRE(placed);
     CHECK(placed->front() == block{5, 6, 2});
 }
@@ -86,16 +86,19 @@
 TEST_CASE("a gang goes into one rack or, if larger than any, over racks") {
     cluster c = make_cluster(2, 4);
     const task_shape whole_host = {8, 8, 8};
-    const auto in_rack = find_placement(c, {whole_host, 4, true, space::unplanned, {}, false});
+    const auto in_rack =
+        find_placement(c, {whole_host, 4, true, space::unplanned, {}, false, false});
     REQUIRE(in_rack);
     for (const auto& b : *in_rack) {
         CHECK(c.hosts()[b.host].rack == c.hosts()[in_rack->front().host].rack);
     }
-    CHECK(find_placement(c, {whole_host, 6, true, space::unplanned, {}, false}).has_value());
-    CHECK_FALSE(find_placement(c, {whole_host, 9, true, space::unplanned, {}, false}).has_value());
+    CHECK(find_placement(c, {whole_host, 6, true, space::unplanned, {}, false, false}).has_value());
+    CHECK_FALSE(
+        find_placement(c, {whole_host, 9, true, space::unplanned, {}, false, false}).has_value());
     c.occupy({0, 0, 1}, {1, 1, 1}, true);
     c.occupy({4, 0, 1}, {1, 1, 1}, true);
-    CHECK_FALSE(find_placement(c, {whole_host, 4, true, space::unplanned, {}, false}).has_value());
+    CHECK_FALSE(
+        find_placement(c, {whole_host, 4, true, space::unplanned, {}, false, false}).has_value());
 }
 
 TEST_CASE("the index gives the same feasibility as looking everywhere") {
@@ -114,6 +117,7 @@
             random() % 2 == 0,
             random() % 2 == 0 ? space::unplanned : space::unclaimed,
             {},
+            false,
             false};
         const auto placed = find_placement(c, request);
         REQUIRE(placed.has_value() == naive_single_fits(c, request));
@@ -152,7 +156,7 @@
     REQUIRE(is_plan_feasible(c, cells));
     for (int step = 0; step < 300; ++step) {
         const placement_request request = {
-            {static_cast<int>(random() % 4), 4, 4}, 1, true, space::unplanned, {}, false};
+            {static_cast<int>(random() % 4), 4, 4}, 1, true, space::unplanned, {}, false, false};
         const auto placed = find_placement(c, request);
         if (!placed) {
             break;
--- a/libs/policy/include/policy/planner.h
+++ b/libs/policy/include/policy/planner.h
@@ -18,6 +18,14 @@
     bool preempt_for_urgent = true;
     bool reclaim = true;
     bool power = true;
+    /** Keeps accelerators free for the urgent work that is expected. */
+    bool urgent_headroom = true;
+    /** Packs hosts in a fixed order where fragmentation weighs more than completion time. */
+    bool consolidate = true;
+    /** Moves checkpointable work where fragmentation weighs more than completion time. */
+    bool defragment = true;
+    /** Small jobs wait before they break into the free block of a guarantee. */
+    bool spare_guarantees = true;
     /** On: the first host that fits instead of the best one. */
     bool first_fit = false;
     /** Off: stops at the first job that can't be placed. */
@@ -45,6 +53,14 @@
     /** Since when a spare host has had nothing to do. */
     std::map<host_index, time_ms> idle_since;
     time_ms power_changed_at = 0;
+    /** Smoothed mean and variance of the accelerators that urgent work holds. */
+    double urgent_mean = 0;
+    double urgent_variance = 0;
+    time_ms urgent_sampled_at = 0;
+    /** Hosts that are being emptied for a large shape, in ascending order, and until when. */
+    std::vector<host_index> draining;
+    time_ms draining_until = 0;
+    time_ms next_defragment_at = 0;
 };
 
 /** Upper bound on the placements of one step, so that a step stays short. */
--- a/libs/policy/src/planner.cpp
+++ b/libs/policy/src/planner.cpp
@@ -1,5 +1,7 @@
 #include "policy/planner.h"
 
+#include "defragment.h"
+#include "headroom.h"
 #include "job_order.h"
 #include "placement/find_placement.h"
 #include "power.h"
@@ -7,6 +9,7 @@
 #include "reservation.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 
 namespace fulmarworks {
@@ -15,6 +18,8 @@
 
 /** Queued jobs of an account that are checked for their time limit in a step. */
 constexpr int max_expiry_checks = 32;
+/** Longest wait before a small job may break up a free guarantee, at full weight. */
+constexpr time_ms max_borrowing_wait_ms = 60 * milliseconds_per_second;
 
 struct chosen_place {
     std::vector<block> blocks;
@@ -84,31 +89,82 @@
     return {s.accelerators, s.cores, s.memory_gb, j.request.tasks, stoppable};
 }
 
+/** Returns whether no work stands in a cell. */
+bool is_untouched(const planning& p, const guarantee_cell& cell) {
+    return std::all_of(cell.blocks.begin(), cell.blocks.end(), [&](const block& b) {
+        return (p.state.hosts.hosts()[b.host].used & mask_of(b)) == 0;
+    });
+}
+
+/** Where fragmentation weighs more, a small job waits before it breaks up a free guarantee. */
+bool may_break_up(const planning& p, const job& j, const guarantee_cell& cell) {
+    const int size = cell.hosts * cell.accelerators_per_host;
+    const bool small = total_accelerators(j.request) * 2 <= size;
+    const auto wait = static_cast<time_ms>(p.state.config.policy.fragmentation_weight *
+                                           static_cast<double>(max_borrowing_wait_ms));
+    return !p.options.spare_guarantees || !weighs_fragmentation(p) || !small ||
+           p.now >= j.submitted_at + wait || !is_untouched(p, cell);
+}
+
+/** Borrows from the guarantee whose break-up costs least: one in use, then the smallest. */
+std::optional<chosen_place> borrow_from_cell(const planning& p, const job& j) {
+    std::optional<chosen_place> best;
+    int best_cost = std::numeric_limits<int>::max();
+    for (const auto& cell : p.state.cells) {
+        const int size = cell.hosts * cell.accelerators_per_host;
+        const int cost = is_untouched(p, cell) ? size : 0;
+        if (cell.blocks.empty() || !cell.claimed_by.empty() || cost >= best_cost ||
+            size < total_accelerators(j.request) || !may_break_up(p, j, cell)) {
+            continue;
+        }
+        auto blocks =
+            find_placement_within(p.state.hosts, cell.blocks, j.request.shape, j.request.tasks);
+        if (blocks) {
+            best = chosen_place{std::move(*blocks), "", "borrowed from a guarantee", false};
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
 std::optional<chosen_place> place_avoiding(const planning& p, const job& j, bool stoppable,
                                            std::span<const host_index> avoid) {
-    placement_request request = {j.request.shape,  j.request.tasks, !stoppable,
-                                 space::unplanned, avoid,           p.options.first_fit};
-    if (auto blocks = find_placement(p.state.hosts, request)) {
-        return chosen_place{std::move(*blocks), "", "best fit", !stoppable};
+    const bool consolidate = p.options.consolidate && weighs_fragmentation(p);
+    placement_request request = {j.request.shape, j.request.tasks,     !stoppable, space::unplanned,
+                                 avoid,           p.options.first_fit, consolidate};
+    if (leaves_headroom(p, j)) {
+        if (auto blocks = find_placement(p.state.hosts, request)) {
+            return chosen_place{std::move(*blocks), "", "best fit", !stoppable};
+        }
     }
     if (!stoppable) {
         return std::nullopt;
     }
+    if (auto place = borrow_from_cell(p, j)) {
+        return place;
+    }
     request.where = space::unclaimed;
+    if (j.request.tasks == 1 || !leaves_headroom(p, j)) {
+        return std::nullopt;
+    }
     if (auto blocks = find_placement(p.state.hosts, request)) {
-        return chosen_place{std::move(*blocks), "", "borrowed from a guarantee", false};
+        return chosen_place{std::move(*blocks), "", "partly borrowed from a guarantee", false};
     }
     return std::nullopt;
 }
 
-/** Prefers hosts on which the job has not failed, but does not wait for them. */
+/** Prefers hosts on which it has not failed and which stay in use, but does not wait for them. */
 std::optional<chosen_place> place_in_shared_space(const planning& p, const job& j, bool stoppable) {
     const auto reserved = reserved_hosts(p, j);
-    if (j.failed_hosts.empty()) {
+    const bool leaves_draining = avoids_draining(p, j);
+    if (j.failed_hosts.empty() && !leaves_draining) {
         return place_avoiding(p, j, stoppable, reserved);
     }
     auto avoid = reserved;
     avoid.insert(avoid.end(), j.failed_hosts.begin(), j.failed_hosts.end());
+    if (leaves_draining) {
+        avoid.insert(avoid.end(), p.memory.draining.begin(), p.memory.draining.end());
+    }
     std::sort(avoid.begin(), avoid.end());
     if (auto place = place_avoiding(p, j, stoppable, avoid)) {
         return place;
@@ -211,10 +267,11 @@
 
 std::vector<record_body> plan_step(ledger_state& s, planner_memory& memory, time_ms now,
                                    const planner_options& options) {
-    planning p = {s, memory, now, options, {}, {}, {}, {}, 0, 0};
+    planning p = {s, memory, now, options, {}, {}, {}, {}, 0, 0, 0};
     expire_waiting(p);
     expire_reservations(p);
     forget_placed(p);
+    update_headroom(p);
     {
         tentative_placements tentative(s);
         const auto visitor = [&](job& j) { return plan_visited(p, tentative, j); };
@@ -225,6 +282,7 @@
             for_each_by_arrival(p, visitor);
         }
     }
+    defragment(p);
     if (options.power) {
         plan_power(p);
     }
--- a/libs/policy/src/planning.h
+++ b/libs/policy/src/planning.h
@@ -25,8 +25,16 @@
     std::size_t placements = 0;
     /** Accelerators of jobs that found no place. */
     int waiting_accelerators = 0;
+    /** Unplanned accelerators to be left free for urgent work. */
+    int headroom = 0;
 };
 
+/** Returns whether the configuration weighs fragmentation more than completion time. */
+[[nodiscard]] inline bool weighs_fragmentation(const planning& p) {
+    const scheduling_policy& weights = p.state.config.policy;
+    return weights.fragmentation_weight > weights.completion_weight;
+}
+
 [[nodiscard]] inline bool is_stoppable(const job_class& c) {
     return c.preempt != preemption::none;
 }
--- a/libs/policy/src/preemption.cpp
+++ b/libs/policy/src/preemption.cpp
@@ -13,6 +13,9 @@
 /** After this time without a placement, work is stopped for a job again. */
 constexpr time_ms preemption_retry_ms = 10 * milliseconds_per_second;
 constexpr std::size_t max_hosts_searched = 512;
+/** Short urgent work ends all the time; only after this part of the deadline is other work stopped.
+ */
+constexpr time_ms deadline_part_to_wait = 8;
 
 bool was_preempted_for(const planning& p, const job& j) {
     const auto found = p.memory.preempted_for.find(j.id);
@@ -176,6 +179,9 @@
     if (j.request.tasks > 1 || was_preempted_for(p, j)) {
         return false;
     }
+    if (p.now < j.submitted_at + c.deadline_ms / deadline_part_to_wait) {
+        return false;
+    }
     const time_ms time_left = j.submitted_at + c.deadline_ms - p.now;
     const victim_choice choice = cheapest_victim(p, j, time_left);
     if (choice.victim == nullptr) {
