--- a/libs/ledger/src/apply_hosts.cpp
+++ b/libs/ledger/src/apply_hosts.cpp
@@ -118,12 +118,21 @@
         apply_document_outcome(f, {r.publish_id, false, s.config_version, std::move(faults)});
         return;
     }
+    const bool new_pools = s.config.host_pools != candidate.host_pools;
+    const bool new_guarantees = s.config.guarantees != candidate.guarantees;
+    const bool new_regions = s.config.failure_domains != candidate.failure_domains;
     s.config = std::move(candidate);
     ++s.config_version;
-    apply_topology(s);
-    apply_guarantees(s);
-    refresh_plan(f);
-    assign_rack_owners(f);
+    if (new_pools) {
+        apply_topology(s);
+    }
+    if (new_pools || new_guarantees) {
+        apply_guarantees(s);
+        refresh_plan(f);
+    }
+    if (new_pools || new_regions) {
+        assign_rack_owners(f);
+    }
     apply_document_outcome(f, {r.publish_id, true, s.config_version, {}});
 }
 
--- a/libs/model/include/model/configuration.h
+++ b/libs/model/include/model/configuration.h
@@ -56,6 +56,8 @@
     int hosts = 1;
     int accelerators_per_host = 1;
     int count = 1;
+
+    bool operator==(const guarantee&) const = default;
 };
 
 struct retry_policy {
@@ -84,6 +86,8 @@
     int hosts = 8;
     /** The last hosts of the rack, which are off until they are needed. */
     int spare_hosts = 0;
+
+    bool operator==(const rack_description&) const = default;
 };
 
 struct host_pool {
@@ -92,11 +96,15 @@
     std::vector<rack_description> racks;
     task_shape host_capacity;
     time_ms startup_ms = 60 * milliseconds_per_second;
+
+    bool operator==(const host_pool&) const = default;
 };
 
 struct failure_domain {
     std::string name;
     std::string region;
+
+    bool operator==(const failure_domain&) const = default;
 };
 
 struct scheduling_policy {
--- a/libs/model/include/model/configuration_document.h
+++ b/libs/model/include/model/configuration_document.h
@@ -54,9 +54,11 @@
 
 /**
  * Checks references, ranges and that all guarantees can be packed at once. Returns every fault;
- * empty means valid. Thread safe.
+ * empty means valid. Pools and packing that are the same in the valid `base` are not checked
+ * again. Thread safe.
  */
-[[nodiscard]] std::vector<configuration_fault> check_configuration(const configuration& candidate);
+[[nodiscard]] std::vector<configuration_fault> check_configuration(const configuration& base,
+                                                                   const configuration& candidate);
 
 /**
  * Parses, applies and checks a document in one step. `faults` is empty exactly if the returned
--- a/libs/model/src/check_configuration.cpp
+++ b/libs/model/src/check_configuration.cpp
@@ -79,11 +79,14 @@
     }
 }
 
-void check_ranges(const configuration& c, fault_list& faults) {
+void check_pools(const configuration& c, fault_list& faults) {
     std::set<std::string> rack_names;
     for (const auto& pool : c.host_pools) {
         check_pool(pool, rack_names, faults);
     }
+}
+
+void check_ranges(const configuration& c, fault_list& faults) {
     for (const auto& account : c.client_accounts) {
         require(faults, account.weight > 0,
                 "client_account '" + account.name + "' has a weight of zero or less",
@@ -169,11 +172,15 @@
 
 } // namespace
 
-fault_list check_configuration(const configuration& candidate) {
+fault_list check_configuration(const configuration& base, const configuration& candidate) {
     fault_list faults;
+    const bool same_pools = base.host_pools == candidate.host_pools;
     check_references(candidate, faults);
     check_ranges(candidate, faults);
-    if (faults.empty()) {
+    if (!same_pools) {
+        check_pools(candidate, faults);
+    }
+    if (faults.empty() && !(same_pools && base.guarantees == candidate.guarantees)) {
         check_packing(candidate, faults);
     }
     return faults;
--- a/libs/model/src/configuration_document.cpp
+++ b/libs/model/src/configuration_document.cpp
@@ -270,7 +270,7 @@
     faults.insert(faults.end(), document.faults.begin(), document.faults.end());
     configuration candidate = apply_document(base, document, faults);
     if (faults.empty()) {
-        faults = check_configuration(candidate);
+        faults = check_configuration(base, candidate);
     }
     return candidate;
 }
--- a/libs/placement/include/placement/cluster.h
+++ b/libs/placement/include/placement/cluster.h
@@ -125,6 +125,9 @@
     [[nodiscard]] std::span<const rack> racks() const { return racks_; }
     [[nodiscard]] std::span<const pool> pools() const { return pools_; }
 
+    /** Returns the hosts that may be off, in ascending order. */
+    [[nodiscard]] std::span<const host_index> spare_hosts() const { return spare_hosts_; }
+
     /** Returns the index of a name, if there is one. */
     [[nodiscard]] std::optional<host_index> find_host(std::string_view name) const;
     [[nodiscard]] std::optional<rack_index> find_rack(std::string_view name) const;
@@ -152,6 +155,7 @@
     std::vector<host> hosts_;
     std::vector<rack> racks_;
     std::vector<pool> pools_;
+    std::vector<host_index> spare_hosts_;
     std::vector<indexed_runs> indexed_;
     std::vector<run_buckets> unplanned_;
     std::vector<run_buckets> unclaimed_;
--- a/libs/placement/src/cluster.cpp
+++ b/libs/placement/src/cluster.cpp
@@ -63,6 +63,9 @@
     hosts_.push_back(std::move(added));
     indexed_.emplace_back();
     racks_[owner].hosts.push_back(index);
+    if (spare) {
+        spare_hosts_.push_back(index);
+    }
     return index;
 }
 
--- a/libs/policy/src/power.cpp
+++ b/libs/policy/src/power.cpp
@@ -29,8 +29,10 @@
 
 int count_starting(const planning& p, std::string_view host_pool) {
     const auto& c = p.state.hosts;
-    return static_cast<int>(std::count_if(c.hosts().begin(), c.hosts().end(), [&](const host& h) {
-        return h.status == host_status::starting && c.pools()[h.pool].name == host_pool;
+    const auto spare = c.spare_hosts();
+    return static_cast<int>(std::count_if(spare.begin(), spare.end(), [&](host_index h) {
+        const host& state = c.hosts()[h];
+        return state.status == host_status::starting && c.pools()[state.pool].name == host_pool;
     }));
 }
 
@@ -53,9 +55,9 @@
 
 void stop_idle_hosts(planning& p) {
     const auto& hosts = p.state.hosts.hosts();
-    for (host_index h = 0; h < hosts.size(); ++h) {
+    for (const host_index h : p.state.hosts.spare_hosts()) {
         const host& state = hosts[h];
-        const bool idle = state.spare && state.status == host_status::up && state.tasks == 0 &&
+        const bool idle = state.status == host_status::up && state.tasks == 0 &&
                           state.planned == 0 && p.waiting_accelerators == 0;
         if (!idle) {
             p.memory.idle_since.erase(h);
