--- a/benchmarks/policy/policy_bench.cpp
+++ b/benchmarks/policy/policy_bench.cpp
@@ -227,13 +227,13 @@
         d.workload.duration_ms = minutes * milliseconds_per_minute;
         d.workload.load = load;
         for (const auto& v : variants()) {
-            if (!only.empty() && only != v.name) {
+            if (!only.empty() && only != v.name) { // "flood" names no variant.
                 continue;
             }
             policy_driver driver(make_run(d, d.workload, v.options));
             report(d, v, driver.run(), d.workload.duration_ms, csv);
         }
-        if (only.empty()) {
+        if (only.empty() || only == "flood") {
             report_flood(d, csv);
         }
     }
--- a/libs/policy/src/headroom.cpp
+++ b/libs/policy/src/headroom.cpp
@@ -20,16 +20,6 @@
     return total;
 }
 
-int total_accelerators_of(const ledger_state& s) {
-    int total = 0;
-    for (const auto& p : s.config.host_pools) {
-        for (const auto& r : p.racks) {
-            total += r.hosts * p.host_capacity.accelerators;
-        }
-    }
-    return total;
-}
-
 } // namespace
 
 void update_headroom(planning& p) {
@@ -45,7 +35,7 @@
         return;
     }
     const double peak = m.urgent_mean + deviations_covered * std::sqrt(m.urgent_variance);
-    const double limit = max_share * total_accelerators_of(p.state);
+    const double limit = max_share * total_accelerators_of(p.state.config);
     p.headroom = static_cast<int>(std::ceil(std::clamp(peak - in_use, 0.0, limit)));
 }
 
--- a/libs/policy/src/job_order.cpp
+++ b/libs/policy/src/job_order.cpp
@@ -91,6 +91,20 @@
 
 } // namespace
 
+bool is_over_share(const ledger_state& s, std::string_view account) {
+    const auto used = s.usage.find(std::string(account));
+    const client_account* known = find_named(s.config.client_accounts, account);
+    if (used == s.usage.end() || known == nullptr) {
+        return false;
+    }
+    double weights = 0;
+    for (const auto& a : s.config.client_accounts) {
+        weights += a.weight;
+    }
+    const double share = total_accelerators_of(s.config) * known->weight / weights;
+    return used->second.accelerators > std::max<double>(share, guaranteed_accelerators(s, account));
+}
+
 int guaranteed_accelerators(const ledger_state& s, std::string_view account) {
     int total = 0;
     for (const auto& g : s.config.guarantees) {
@@ -102,9 +116,22 @@
 }
 
 void for_each_urgent(planning& p, const std::function<visit(job&)>& visitor) {
-    auto entries = merged(p, true);
-    std::sort(entries.begin(), entries.end());
-    visit_all(p, entries, visitor);
+    const auto entries = merged(p, true);
+    std::vector<queue_entry> within;
+    std::vector<queue_entry> over;
+    std::map<std::string, bool> over_share;
+    for (const auto& entry : entries) {
+        const std::string& account = p.state.jobs.at(entry.job).request.client_account;
+        const auto [known, is_new] = over_share.try_emplace(account);
+        if (is_new) {
+            known->second = p.options.fair_share && is_over_share(p.state, account);
+        }
+        (known->second ? over : within).push_back(entry);
+    }
+    std::sort(within.begin(), within.end());
+    std::sort(over.begin(), over.end());
+    within.insert(within.end(), over.begin(), over.end());
+    visit_all(p, within, visitor);
 }
 
 void for_each_by_arrival(planning& p, const std::function<visit(job&)>& visitor) {
--- a/libs/policy/src/planning.h
+++ b/libs/policy/src/planning.h
@@ -43,6 +43,17 @@
     return r.shape.accelerators * r.tasks;
 }
 
+/** Returns the accelerators of all configured hosts. */
+[[nodiscard]] inline int total_accelerators_of(const configuration& c) {
+    int total = 0;
+    for (const auto& p : c.host_pools) {
+        for (const auto& r : p.racks) {
+            total += r.hosts * p.host_capacity.accelerators;
+        }
+    }
+    return total;
+}
+
 /** Returns the expected run time that planning uses. */
 [[nodiscard]] inline time_ms planned_run_ms(const planning& p, const job& j) {
     return p.options.learned_run_times ? expected_run_ms(p.state, j) : j.request.declared_ms;
--- a/libs/policy/src/preemption.cpp
+++ b/libs/policy/src/preemption.cpp
@@ -1,6 +1,7 @@
 #include "preemption.h"
 
 #include "base/digest.h"
+#include "job_order.h"
 
 #include <algorithm>
 #include <limits>
@@ -176,7 +177,8 @@
 }
 
 bool preempt_for_urgent(planning& p, const job& j, const job_class& c) {
-    if (j.request.tasks > 1 || was_preempted_for(p, j)) {
+    if (j.request.tasks > 1 || was_preempted_for(p, j) ||
+        is_over_share(p.state, j.request.client_account)) {
         return false;
     }
     if (p.now < j.submitted_at + c.deadline_ms / deadline_part_to_wait) {
--- a/tests/harness/test_cluster.cpp
+++ b/tests/harness/test_cluster.cpp
@@ -14,7 +14,6 @@
 
 constexpr int lowest_port = 10000;
 constexpr int port_range = 20000;
-constexpr int worker_ports = 64;
 
 bool is_free_port(int port) {
     const int s = socket(AF_INET, SOCK_STREAM, 0);
@@ -93,7 +92,7 @@
     std::vector<std::string> log = {STANDIN_BINARY, "log", "--address", log_address_};
     log.insert(log.end(), options_.log_options.begin(), options_.log_options.end());
     standins_.emplace_back(log, file("log.txt"));
-    const std::string first_port = std::to_string(find_ports(worker_ports));
+    const std::string first_port = std::to_string(find_ports(options_.worker_ports));
     standins_.emplace_back(std::vector<std::string>{STANDIN_BINARY, "fleet", "--config",
                                                     options_.config_file, "--address",
                                                     host_list_address_, "--first-port", first_port},
@@ -154,6 +153,11 @@
     (void)call_and_wait({"POST", log_address_, "/control", command.dump(), 5000});
 }
 
+std::uint64_t test_cluster::log_appends() const {
+    const json state = parsed_object(call_and_wait({"POST", log_address_, "/control", "{}", 5000}));
+    return state.value("appends", std::uint64_t{0});
+}
+
 void test_cluster::control_log_proxy(int instance, const json& command) const {
     (void)call_and_wait({"POST", proxy_controls_[instance], "/control", command.dump(), 5000});
 }
--- a/tests/harness/test_cluster.h
+++ b/tests/harness/test_cluster.h
@@ -17,6 +17,8 @@
     int instances = 3;
     /** Further settings of every instance, as lines of YAML. */
     std::string extra_settings;
+    /** At least the number of workers. */
+    int worker_ports = 64;
     /** Options of the log stand-in. */
     std::vector<std::string> log_options;
 };
@@ -45,6 +47,9 @@
     http_answer call(int i, const std::string& method, const std::string& target,
                      const json& body = nullptr, time_ms timeout_ms = 15000) const;
 
+    /** Returns how many appends the log service has taken. */
+    [[nodiscard]] std::uint64_t log_appends() const;
+
     /** Parsed body of a GET; an empty object if there was no answer. */
     [[nodiscard]] json get(int i, const std::string& target) const;
 
