--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -11,5 +11,11 @@
     add_executable(test_${NAME} ${TESTS})
     target_link_libraries(test_${NAME} PRIVATE ${NAME} Catch2::Catch2WithMain rapidcheck)
     add_test(NAME ${NAME} COMMAND test_${NAME})
+    set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
   endif()
 endfunction()
+
+# Lets tests of one library use the fixture of another.
+function(fulmarworks_test_fixture NAME FIXTURE_DIRECTORY)
+  target_include_directories(test_${NAME} PRIVATE ${FIXTURE_DIRECTORY})
+endfunction()
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -45,7 +45,7 @@
      */
     void send(const http_call& call, answer_handler on_answer);
 
-    /** Returns the bytes of bodies sent and received so far. */
+    /** Returns the bytes of headers and bodies sent and received so far. */
     [[nodiscard]] std::uint64_t bytes_transferred() const;
 
 private:
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -3,9 +3,11 @@
 #include "http/http_server.h"
 
 #include <cstdlib>
+#include <cstring>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -41,6 +43,22 @@
     return answer;
 }
 
+/** Returns the size of a message's headers and its first line without the target. */
+std::size_t header_bytes(evhttp_request* request, bool received) {
+    constexpr std::size_t first_line = 20;
+    constexpr std::size_t separators = 4;
+    if (request == nullptr) {
+        return 0;
+    }
+    const evkeyvalq* headers = received ? evhttp_request_get_input_headers(request)
+                                        : evhttp_request_get_output_headers(request);
+    std::size_t total = first_line;
+    for (const evkeyval* h = headers->tqh_first; h != nullptr; h = h->next.tqe_next) {
+        total += std::strlen(h->key) + std::strlen(h->value) + separators;
+    }
+    return total;
+}
+
 } // namespace
 
 struct http_client::impl {
@@ -115,7 +133,7 @@
         }
         const http_answer answer = read_answer(request);
         client->calls.erase(call);
-        client->bytes += answer.body.size();
+        client->bytes += answer.body.size() + header_bytes(request, true);
         auto& available = client->idle[call->address];
         if (answer.status != 0 && available.size() < max_idle_per_address) {
             available.push_back(call->connection);
@@ -145,7 +163,7 @@
             evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(),
                          call.body.size());
         }
-        bytes += call.body.size();
+        bytes += call.body.size() + call.target.size() + header_bytes(request, false);
         if (evhttp_make_request(connection, request, command_of(call.method),
                                 call.target.c_str()) != 0) {
             calls.erase(open);
--- a/libs/instance/include/instance/event.h
+++ b/libs/instance/include/instance/event.h
@@ -77,6 +77,11 @@
     bool was_poll = false;
 };
 
+/** A poll ended without news. */
+struct worker_unchanged {
+    std::string host;
+};
+
 struct worker_failed {
     std::string host;
     bool was_poll = false;
@@ -123,10 +128,11 @@
 
 struct shutdown_requested {};
 
-using event = std::variant<tick, appends_due, snapshot_loaded, snapshot_load_failed, log_records,
-                           log_trimmed, log_read_failed, append_acknowledged, append_unknown,
-                           snapshot_written, host_list_read, worker_answered, worker_failed,
-                           peer_heard, caller_submitted, caller_asked, caller_cancelled,
-                           caller_published, caller_gone, result_missing, shutdown_requested>;
+using event =
+    std::variant<tick, appends_due, snapshot_loaded, snapshot_load_failed, log_records, log_trimmed,
+                 log_read_failed, append_acknowledged, append_unknown, snapshot_written,
+                 host_list_read, worker_answered, worker_unchanged, worker_failed, peer_heard,
+                 caller_submitted, caller_asked, caller_cancelled, caller_published, caller_gone,
+                 result_missing, shutdown_requested>;
 
 } // namespace fulmarworks
--- a/libs/instance/src/reconcile.cpp
+++ b/libs/instance/src/reconcile.cpp
@@ -29,6 +29,11 @@
     return try_again(v.link.retry_at, key, v.c.state.now.monotonic, interval);
 }
 
+/** While the log is away nothing piles up for it: the comparison is made again afterwards. */
+bool is_record_due(worker_view& v, const std::string& key) {
+    return is_log_available(v.c.state) && is_due(v, key, record_retry_ms);
+}
+
 task_order base_order(const worker_view& v, task_operation operation) {
     const instance_state& s = v.c.state;
     task_order order;
@@ -78,7 +83,7 @@
 }
 
 void record_end(worker_view& v, const job& j, int member, const task_report& t) {
-    if (!is_due(v, task_key("ended", j.id, member, j.attempt), record_retry_ms)) {
+    if (!is_record_due(v, task_key("ended", j.id, member, j.attempt))) {
         return;
     }
     task_ended r;
@@ -98,7 +103,7 @@
 }
 
 void record_ready(worker_view& v, const job& j, int member) {
-    if (is_due(v, task_key("ready", j.id, member, j.attempt), record_retry_ms)) {
+    if (is_record_due(v, task_key("ready", j.id, member, j.attempt))) {
         enqueue_record(v.c, append_lane::urgent, members_ready{j.id, j.attempt, {member}});
     }
 }
--- a/libs/instance/src/worker_links.cpp
+++ b/libs/instance/src/worker_links.cpp
@@ -26,6 +26,9 @@
 
 void report_host(context& c, host_index h, worker_link& link, host_status status,
                  std::uint64_t incarnation) {
+    if (!is_log_available(c.state)) {
+        return;
+    }
     const auto key = "host/" + std::string(to_string(status)) + "/" + std::to_string(incarnation);
     if (!try_again(link.retry_at, key, c.state.now.monotonic, report_retry_ms)) {
         return;
@@ -160,6 +163,20 @@
     reconcile_host(c, *h);
 }
 
+void handle_worker(context& c, const worker_unchanged& e) {
+    const auto h = c.state.ledger.hosts.find_host(e.host);
+    const auto found = h ? c.state.workers.find(*h) : c.state.workers.end();
+    if (found == c.state.workers.end()) {
+        return;
+    }
+    worker_link& link = found->second;
+    link.poll_outstanding = false;
+    link.next_poll_at = c.state.now.monotonic;
+    link.last_answer_at = c.state.now.monotonic;
+    note_report(c, *h, link);
+    reconcile_host(c, *h);
+}
+
 void handle_worker(context& c, const worker_failed& e) {
     const auto h = c.state.ledger.hosts.find_host(e.host);
     const auto found = h ? c.state.workers.find(*h) : c.state.workers.end();
--- a/libs/instance/src/worker_links.h
+++ b/libs/instance/src/worker_links.h
@@ -11,6 +11,7 @@
 void check_workers(context& c);
 
 void handle_worker(context& c, const worker_answered& e);
+void handle_worker(context& c, const worker_unchanged& e);
 void handle_worker(context& c, const worker_failed& e);
 void handle_hosts(context& c, const host_list_read& e);
 
--- a/libs/platform/include/platform/worker_client.h
+++ b/libs/platform/include/platform/worker_client.h
@@ -19,11 +19,16 @@
 public:
     using report_handler = std::function<void(const std::optional<worker_report>&)>;
 
+    enum class poll_status { changed, unchanged, failed };
+
+    /** The report holds only where the status is `changed`. */
+    using poll_handler = std::function<void(poll_status, const worker_report&)>;
+
     worker_client(http_client& client, std::string host_list_address);
 
     /** Asks a worker for its state; it answers at once if that differs from `seen_version`. */
     void poll(const std::string& address, std::uint64_t seen_version, time_ms wait_ms,
-              time_ms lease_ms, report_handler done);
+              time_ms lease_ms, poll_handler done);
 
     /** Sends an order; the answer is the worker's state after it. */
     void send(const std::string& address, const task_order& order, report_handler done);
--- a/libs/platform/src/worker_client.cpp
+++ b/libs/platform/src/worker_client.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_not_modified = 304;
 constexpr time_ms answer_margin_ms = 1000;
 constexpr time_ms order_timeout_ms = 1500;
 constexpr time_ms result_timeout_ms = 10000;
@@ -44,14 +45,19 @@
     : client_(client), host_list_address_(std::move(host_list_address)) {}
 
 void worker_client::poll(const std::string& address, std::uint64_t seen_version, time_ms wait_ms,
-                         time_ms lease_ms, report_handler done) {
+                         time_ms lease_ms, poll_handler done) {
     http_call call;
     call.address = address;
     call.target = "/v1/worker?seen_version=" + std::to_string(seen_version) +
                   "&wait_ms=" + std::to_string(wait_ms) + "&lease_ms=" + std::to_string(lease_ms);
     call.timeout_ms = wait_ms + answer_margin_ms;
     client_.send(call, [done = std::move(done)](const http_answer& a) {
-        done(parse_answer<worker_report>(a));
+        if (a.status == status_not_modified) {
+            done(poll_status::unchanged, {});
+            return;
+        }
+        const auto report = parse_answer<worker_report>(a);
+        done(report ? poll_status::changed : poll_status::failed, report.value_or(worker_report{}));
     });
 }
 
--- a/libs/policy/src/planner.cpp
+++ b/libs/policy/src/planner.cpp
@@ -113,8 +113,9 @@
     for (const auto& cell : p.state.cells) {
         const int size = cell.hosts * cell.accelerators_per_host;
         const int cost = is_untouched(p, cell) ? size : 0;
-        if (cell.blocks.empty() || !cell.claimed_by.empty() || cost >= best_cost ||
-            size < total_accelerators(j.request) || !may_break_up(p, j, cell)) {
+        if (cell.blocks.empty() || !cell.claimed_by.empty() || p.taken_cells.contains(cell.name) ||
+            cost >= best_cost || size < total_accelerators(j.request) ||
+            !may_break_up(p, j, cell)) {
             continue;
         }
         auto blocks =
@@ -127,6 +128,21 @@
     return best;
 }
 
+/** Adds the hosts of cells that this step has claimed to those to avoid. */
+std::vector<host_index> without_taken_cells(const planning& p, std::span<const host_index> avoid) {
+    std::vector<host_index> hosts(avoid.begin(), avoid.end());
+    for (const auto& cell : p.state.cells) {
+        if (!p.taken_cells.contains(cell.name)) {
+            continue;
+        }
+        for (const auto& b : cell.blocks) {
+            hosts.push_back(b.host);
+        }
+    }
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
+}
+
 std::optional<chosen_place> place_avoiding(const planning& p, const job& j, bool stoppable,
                                            std::span<const host_index> avoid) {
     const bool consolidate = p.options.consolidate && weighs_fragmentation(p);
@@ -143,7 +159,9 @@
     if (auto place = borrow_from_cell(p, j)) {
         return place;
     }
+    const auto untaken = without_taken_cells(p, avoid);
     request.where = space::unclaimed;
+    request.avoid = untaken;
     if (j.request.tasks == 1 || !leaves_headroom(p, j)) {
         return std::nullopt;
     }
--- a/libs/service/src/instance_service.cpp
+++ b/libs/service/src/instance_service.cpp
@@ -120,18 +120,24 @@
         });
     }
 
-    worker_client::report_handler on_report(const std::string& host, bool was_poll) {
-        return [this, host, was_poll](const std::optional<worker_report>& report) {
-            if (report && report->host == host) {
-                handle(worker_answered{host, *report, was_poll});
-            } else {
-                handle(worker_failed{host, was_poll});
-            }
-        };
+    void handle_poll(const std::string& host, worker_client::poll_status status,
+                     const worker_report& report) {
+        const bool is_right_host = report.host == host;
+        if (status == worker_client::poll_status::unchanged) {
+            handle(worker_unchanged{host});
+        } else if (status == worker_client::poll_status::changed && is_right_host) {
+            handle(worker_answered{host, report, true});
+        } else {
+            handle(worker_failed{host, true});
+        }
     }
 
     void perform(const poll_worker& e) {
-        workers.poll(e.address, e.seen_version, e.wait_ms, e.lease_ms, on_report(e.host, true));
+        workers.poll(
+            e.address, e.seen_version, e.wait_ms, e.lease_ms,
+            [this, host = e.host](worker_client::poll_status status, const worker_report& report) {
+                handle_poll(host, status, report);
+            });
     }
 
     void perform(const send_order& e) {
@@ -141,7 +147,14 @@
             .field("job", e.order.job)
             .field("member", e.order.member)
             .field("attempt", e.order.attempt);
-        workers.send(e.address, e.order, on_report(e.host, false));
+        workers.send(e.address, e.order,
+                     [this, host = e.host](const std::optional<worker_report>& report) {
+                         if (report && report->host == host) {
+                             handle(worker_answered{host, *report, false});
+                         } else {
+                             handle(worker_failed{host, false});
+                         }
+                     });
     }
 
     void perform(const request_power& e) {
--- a/libs/service/src/metrics.cpp
+++ b/libs/service/src/metrics.cpp
@@ -87,7 +87,7 @@
     add_gauge(families, "owned_workers", "Workers of owned racks",
               static_cast<double>(s.workers.size()));
     add_gauge(families, "waiting_callers", "Callers that wait for an answer", s.waiting_callers);
-    add_gauge(families, "client_bytes", "Bytes of bodies exchanged with platform and workers",
+    add_gauge(families, "client_bytes", "Bytes exchanged with platform and workers",
               static_cast<double>(bytes_transferred));
 }
 
--- a/tests/fakes/virtual_fleet.cpp
+++ b/tests/fakes/virtual_fleet.cpp
@@ -391,7 +391,7 @@
 void virtual_fleet::perform(int i, const announce& e) {
     for (int other = 0; other < instance_count(); ++other) {
         const int generation = nodes_[other].generation;
-        if (other != i) {
+        if (other != i && !peers_cut_) {
             transmit([this, other, generation, m = e.message] {
                 deliver(other, generation, peer_heard{m});
             });
--- a/tests/fakes/virtual_fleet.h
+++ b/tests/fakes/virtual_fleet.h
@@ -39,6 +39,9 @@
     void set_faults(fault_rates rates) { rates_ = rates; }
     void set_log_down(bool down) { log_down_ = down; }
     void lose_append_answers(bool lose) { lose_append_answers_ = lose; }
+    /** Instances no longer hear one another. */
+    void cut_peers(bool cut) { peers_cut_ = cut; }
+    [[nodiscard]] std::size_t log_size() const { return log_.size(); }
     /** Drops records older than the newest `keep`. */
     void trim_log(std::size_t keep);
 
@@ -139,6 +142,7 @@
     fault_rates rates_;
     bool log_down_ = false;
     bool lose_append_answers_ = false;
+    bool peers_cut_ = false;
     time_ms now_ = 0;
     std::uint64_t next_order_ = 0;
     std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> events_;
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -76,7 +76,7 @@
     if (seen != worker_.version() || wait == 0) {
         respond_report(token);
     } else {
-        polls_[token] = {monotonic_now() + wait};
+        polls_[token] = {seen, monotonic_now() + wait};
         answered_version_ = worker_.version();
     }
 }
@@ -121,11 +121,19 @@
     for (const auto& [token, p] : waiting) {
         if (now >= p.answer_by) {
             polls_.erase(token);
-            respond_report(token);
+            answer_poll(token, p);
         }
     }
 }
 
+void worker_standin::answer_poll(std::uint64_t token, const waiting_poll& p) {
+    if (p.seen_version == worker_.version()) {
+        server_->respond(token, {304, ""});
+    } else {
+        respond_report(token);
+    }
+}
+
 void worker_standin::answer_polls_if_changed() {
     if (silent_ || !on_ || worker_.version() == answered_version_) {
         return;
--- a/tests/standins/worker_standin.h
+++ b/tests/standins/worker_standin.h
@@ -27,6 +27,7 @@
 
 private:
     struct waiting_poll {
+        std::uint64_t seen_version = 0;
         time_ms answer_by = 0;
     };
 
@@ -35,6 +36,7 @@
     void order(const http_request& r, std::uint64_t token);
     void send_result(const http_request& r, std::uint64_t token);
     void check_time();
+    void answer_poll(std::uint64_t token, const waiting_poll& p);
     void answer_polls_if_changed();
     void respond_report(std::uint64_t token);
 
