--- a/benchmarks/policy/policy_driver.cpp
+++ b/benchmarks/policy/policy_driver.cpp
@@ -176,17 +176,11 @@
             used += std::popcount(h.used);
         }
     }
-    int hosts = 1;
-    int accelerators = 1;
-    for (const auto& g : state_.config.guarantees) {
-        if (g.hosts * g.accelerators_per_host > hosts * accelerators) {
-            hosts = g.hosts;
-            accelerators = g.accelerators_per_host;
-        }
-    }
+    const promised_shape shape = largest_promised(state_.config);
     const auto weight = static_cast<double>(interval);
     sampled_ms_ += weight;
-    result_.fragmentation += weight * fragmentation(state_.hosts, hosts, accelerators);
+    result_.fragmentation +=
+        weight * fragmentation(state_.hosts, shape.hosts, shape.accelerators_per_host);
     result_.idle_share += total == 0 ? 0 : weight * (total - used) / total;
     result_.host_hours_on += weight * on / milliseconds_per_hour;
     if (!is_plan_feasible(state_.hosts, state_.cells)) {
--- a/libs/ledger/include/ledger/state.h
+++ b/libs/ledger/include/ledger/state.h
@@ -92,6 +92,7 @@
 
 struct account_usage {
     int accelerators = 0;
+    int urgent_accelerators = 0;
     int tasks = 0;
 };
 
--- a/libs/ledger/src/job_lifecycle.cpp
+++ b/libs/ledger/src/job_lifecycle.cpp
@@ -186,7 +186,9 @@
         s.jobs_by_host[member.where.host].insert(j.id);
         usage.accelerators += member.where.count;
         ++usage.tasks;
-        s.urgent_accelerators += j.placed_urgent ? member.where.count : 0;
+        const int urgent = j.placed_urgent ? member.where.count : 0;
+        usage.urgent_accelerators += urgent;
+        s.urgent_accelerators += urgent;
     }
 }
 
@@ -200,7 +202,9 @@
     account_usage& usage = s.usage[j.request.client_account];
     usage.accelerators -= ended.where.count;
     --usage.tasks;
-    s.urgent_accelerators -= j.placed_urgent ? ended.where.count : 0;
+    const int urgent = j.placed_urgent ? ended.where.count : 0;
+    usage.urgent_accelerators -= urgent;
+    s.urgent_accelerators -= urgent;
     const bool still_there = std::any_of(j.members.begin(), j.members.end(), [&](const auto& m) {
         return m.where.host == h && m.outcome == task_outcome::none;
     });
--- a/libs/ledger/src/plan_upkeep.cpp
+++ b/libs/ledger/src/plan_upkeep.cpp
@@ -11,6 +11,8 @@
     return c != nullptr && c->preempt != preemption::none;
 }
 
+} // namespace
+
 void leave_cell(ledger_state& s, job& j) {
     const bool pinned = !is_stoppable(s, j);
     for (const auto& member : j.members) {
@@ -23,8 +25,6 @@
     j.cell.clear();
 }
 
-} // namespace
-
 void refresh_plan(fold& f) {
     ledger_state& s = f.state;
     std::set<std::string> moved;
--- a/libs/ledger/src/topology.cpp
+++ b/libs/ledger/src/topology.cpp
@@ -1,9 +1,7 @@
 #include "topology.h"
 
 #include "job_lifecycle.h"
-
-#include <array>
-#include <cstdio>
+#include "plan_upkeep.h"
 
 namespace fulmarworks {
 
@@ -49,12 +47,6 @@
 
 } // namespace
 
-std::string host_name(std::string_view rack, int place) {
-    std::array<char, 16> suffix{};
-    std::snprintf(suffix.data(), suffix.size(), "-h%02d", place + 1);
-    return std::string(rack) + suffix.data();
-}
-
 void apply_topology(ledger_state& s) {
     std::set<std::string> named;
     for (const auto& configured : s.config.host_pools) {
@@ -102,16 +94,7 @@
         if (!has_cell || find_named(s.cells, j.cell) != nullptr) {
             continue;
         }
-        const job_class* c = class_of(s, j);
-        const bool pinned = c == nullptr || c->preempt == preemption::none;
-        for (const auto& member : j.members) {
-            if (member.outcome == task_outcome::none) {
-                s.hosts.release(member.where, j.request.shape, j.pinned);
-                s.hosts.occupy(member.where, j.request.shape, pinned);
-            }
-        }
-        j.pinned = pinned;
-        j.cell.clear();
+        leave_cell(s, j);
     }
 }
 
--- a/libs/ledger/src/topology.h
+++ b/libs/ledger/src/topology.h
@@ -13,7 +13,4 @@
 /** Rebuilds queues, usage, occupancy and indexes from the jobs and cells of a snapshot. */
 void rebuild_derived(ledger_state& s);
 
-/** Returns the name of the host at a place in its rack, from 0. */
-[[nodiscard]] std::string host_name(std::string_view rack, int place);
-
 } // namespace fulmarworks
--- a/libs/model/include/model/configuration.h
+++ b/libs/model/include/model/configuration.h
@@ -136,6 +136,19 @@
 FULMARWORKS_JSON(configuration, failure_domains, host_pools, client_accounts, guarantees,
                  retry_policies, job_classes, policy)
 
+/** Returns the name of the host at a place in its rack, from 0: RACK-h01 and on. Thread safe. */
+[[nodiscard]] std::string host_name(std::string_view rack, int place);
+
+/** The largest block that a configuration promises; 0 x 0 without guarantees. */
+struct promised_shape {
+    int hosts = 0;
+    int accelerators_per_host = 0;
+
+    [[nodiscard]] int total() const { return hosts * accelerators_per_host; }
+};
+
+[[nodiscard]] promised_shape largest_promised(const configuration& config);
+
 /** Returns the object called `name`, or nullptr. Thread safe. */
 template <class Object>
 [[nodiscard]] const Object* find_named(const std::vector<Object>& objects, std::string_view name) {
--- a/libs/policy/src/defragment.cpp
+++ b/libs/policy/src/defragment.cpp
@@ -17,23 +17,6 @@
 constexpr time_ms min_time_left_ms = 30 * milliseconds_per_second;
 constexpr std::size_t max_moves = 24;
 
-struct wanted_shape {
-    int hosts = 0;
-    int accelerators = 0;
-
-    [[nodiscard]] int total() const { return hosts * accelerators; }
-};
-
-wanted_shape largest_promised(const configuration& config) {
-    wanted_shape largest;
-    for (const auto& g : config.guarantees) {
-        if (g.hosts * g.accelerators_per_host > largest.total()) {
-            largest = {g.hosts, g.accelerators_per_host};
-        }
-    }
-    return largest;
-}
-
 int free_accelerators(const ledger_state& s) {
     int total = 0;
     for (const auto& p : s.hosts.pools()) {
@@ -187,7 +170,7 @@
 
 /** Returns the fragmentation once the hosts are empty and the moved jobs run elsewhere. */
 double fragmentation_after(planning& p, const std::vector<emptying>& hosts,
-                           const std::set<std::string>& moved, const wanted_shape& shape) {
+                           const std::set<std::string>& moved, const promised_shape& shape) {
     trial_moves trial(p.state.hosts);
     std::set<std::string> lifted;
     for (const auto& e : hosts) {
@@ -203,7 +186,7 @@
             return 1;
         }
     }
-    return fragmentation(p.state.hosts, shape.hosts, shape.accelerators);
+    return fragmentation(p.state.hosts, shape.hosts, shape.accelerators_per_host);
 }
 
 } // namespace
@@ -213,14 +196,14 @@
     if (p.now >= m.draining_until) {
         m.draining.clear();
     }
-    const wanted_shape shape = largest_promised(p.state.config);
+    const promised_shape shape = largest_promised(p.state.config);
     if (!p.options.defragment || !weighs_fragmentation(p) || shape.total() == 0 ||
         p.now < m.next_defragment_at) {
         return;
     }
     m.next_defragment_at = p.now + interval_ms;
     const int free = free_accelerators(p.state);
-    const double before = fragmentation(p.state.hosts, shape.hosts, shape.accelerators);
+    const double before = fragmentation(p.state.hosts, shape.hosts, shape.accelerators_per_host);
     if (free * before < shape.total()) {
         return;
     }
@@ -244,7 +227,7 @@
 }
 
 bool avoids_draining(const planning& p, const job& j) {
-    const wanted_shape shape = largest_promised(p.state.config);
+    const promised_shape shape = largest_promised(p.state.config);
     return !p.memory.draining.empty() && total_accelerators(j.request) * 2 <= shape.total();
 }
 
--- a/libs/policy/src/headroom.cpp
+++ b/libs/policy/src/headroom.cpp
@@ -1,5 +1,7 @@
 #include "headroom.h"
 
+#include "job_order.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,6 +13,8 @@
 constexpr double deviations_covered = 3;
 /** Largest share of all accelerators that is kept free. */
 constexpr double max_share = 0.1;
+/** Share kept free of the urgent work of an account that holds more than its share. */
+constexpr double kept_from_floods = 0.05;
 
 int free_unplanned(const ledger_state& s) {
     int total = 0;
@@ -42,8 +46,15 @@
 bool leaves_headroom(const planning& p, const job& j) {
     const job_class* c = class_of(p.state, j);
     const bool is_urgent = c != nullptr && c->priority == urgency::urgent;
-    return is_urgent || p.headroom == 0 || total_accelerators(j.request) == 0 ||
-           free_unplanned(p.state) - total_accelerators(j.request) >= p.headroom;
+    int kept_free = p.headroom;
+    if (is_urgent) {
+        const bool floods =
+            p.options.fair_share && is_over_share(p.state, j.request.client_account);
+        const double share = floods && p.options.urgent_headroom ? kept_from_floods : 0;
+        kept_free = static_cast<int>(share * total_accelerators_of(p.state.config));
+    }
+    return kept_free == 0 || total_accelerators(j.request) == 0 ||
+           free_unplanned(p.state) - total_accelerators(j.request) >= kept_free;
 }
 
 } // namespace fulmarworks
--- a/libs/policy/src/job_order.cpp
+++ b/libs/policy/src/job_order.cpp
@@ -9,6 +9,9 @@
 
 /** Jobs of one account that a step looks at behind the first one that doesn't fit. */
 constexpr int max_depth_per_account = 32;
+/** An account may hold this multiple of its share of urgent work, and a few accelerators more. */
+constexpr double share_tolerance = 1.25;
+constexpr int free_allowance = 4;
 
 using queue_position = std::set<queue_entry>::const_iterator;
 
@@ -101,8 +104,8 @@
     for (const auto& a : s.config.client_accounts) {
         weights += a.weight;
     }
-    const double share = total_accelerators_of(s.config) * known->weight / weights;
-    return used->second.accelerators > std::max<double>(share, guaranteed_accelerators(s, account));
+    const double share = s.urgent_accelerators * known->weight / weights;
+    return used->second.urgent_accelerators > share * share_tolerance + free_allowance;
 }
 
 int guaranteed_accelerators(const ledger_state& s, std::string_view account) {
--- a/libs/policy/src/job_order.h
+++ b/libs/policy/src/job_order.h
@@ -11,7 +11,8 @@
 
 /**
  * Visits the queued urgent jobs by deadline; those of accounts that hold more than their weight's
- * share of all accelerators come after the others', so that a burst costs the account that sent it.
+ * share of what urgent work holds come after the others', so that a burst costs the account that
+ * sent it.
  */
 void for_each_urgent(planning& p, const std::function<visit(job&)>& visitor);
 
@@ -24,7 +25,7 @@
 /** Visits all queued jobs by arrival; a baseline for benchmarks. */
 void for_each_by_arrival(planning& p, const std::function<visit(job&)>& visitor);
 
-/** Returns whether an account holds more than its weight's share of all accelerators. */
+/** Returns whether an account holds clearly more than its weight's share of urgent work. */
 [[nodiscard]] bool is_over_share(const ledger_state& s, std::string_view account);
 
 /** Returns the accelerators that an account is promised. */
--- a/libs/service/src/metrics.cpp
+++ b/libs/service/src/metrics.cpp
@@ -94,15 +94,9 @@
 } // namespace
 
 double fragmentation_of(const ledger_state& s) {
-    int hosts = 0;
-    int accelerators = 0;
-    for (const auto& g : s.config.guarantees) {
-        if (g.hosts * g.accelerators_per_host > hosts * accelerators) {
-            hosts = g.hosts;
-            accelerators = g.accelerators_per_host;
-        }
-    }
-    return hosts == 0 ? 0 : fragmentation(s.hosts, hosts, accelerators);
+    const promised_shape shape = largest_promised(s.config);
+    return shape.total() == 0 ? 0
+                              : fragmentation(s.hosts, shape.hosts, shape.accelerators_per_host);
 }
 
 std::string render_metrics(const instance_state& s, std::uint64_t bytes_transferred) {
--- a/tests/standins/fleet_standin.cpp
+++ b/tests/standins/fleet_standin.cpp
@@ -1,8 +1,5 @@
 #include "fleet_standin.h"
 
-#include <array>
-#include <cstdio>
-
 namespace fulmarworks {
 
 namespace {
@@ -10,12 +7,6 @@
 /** Time that a stand-in host takes to start. */
 constexpr time_ms startup_ms = 300;
 
-std::string host_name(const std::string& rack, int place) {
-    std::array<char, 16> suffix{};
-    std::snprintf(suffix.data(), suffix.size(), "-h%02d", place + 1);
-    return rack + suffix.data();
-}
-
 } // namespace
 
 fleet_standin::fleet_standin(event_loop& loop) : loop_(loop) {}
