--- a/libs/policy/src/job_order.cpp
+++ b/libs/policy/src/job_order.cpp
@@ -10,8 +10,8 @@
 /** Jobs of one account that a step looks at behind the first one that doesn't fit. */
 constexpr int max_depth_per_account = 32;
 /** An account may hold this multiple of its share of urgent work, and a few accelerators more. */
-constexpr double share_tolerance = 1.25;
-constexpr int free_allowance = 4;
+constexpr double share_tolerance = 2;
+constexpr int free_allowance = 8;
 
 using queue_position = std::set<queue_entry>::const_iterator;
 
