Urgent work gives way to no reservation

Overdue reservations kept urgent tasks of a second off free hosts, so they stopped other work instead. Change: urgent work, which is short, ignores reservations.

--- a/libs/policy/src/reservation.cpp
+++ b/libs/policy/src/reservation.cpp
@@ -93,6 +93,10 @@
 
 std::vector<host_index> reserved_hosts(const planning& p, const job& j) {
     std::vector<host_index> hosts;
+    const job_class* c = class_of(p.state, j);
+    if (c != nullptr && c->priority == urgency::urgent) {
+        return hosts;
+    }
     const auto& reservations = p.memory.reservations;
     const auto own = reservations.find(j.id);
     const time_ms end = p.now + planned_run_ms(p, j);
