--- a/benchmarks/capacity/capacity_bench.cpp
+++ b/benchmarks/capacity/capacity_bench.cpp
@@ -170,9 +170,10 @@
 
 } // namespace
 
-/** Usage: capacity_bench CSV. Prints the worst instance of each point. */
+/** Usage: capacity_bench CSV [SERIES]. Prints the worst instance of each point. */
 int main(int argc, char** argv) {
     std::ofstream csv(argc > 1 ? argv[1] : "capacity.csv");
+    const std::string only = argc > 2 ? argv[2] : "";
     const std::string header = "series,value,cpu_percent,resident_mb,kb_per_s,log_appends_per_s";
     std::cout << header << "\n";
     csv << header << "\n";
@@ -184,7 +185,9 @@
           series("instances", &point::instances, {2, 3, 5, 8}),
           series("accounts", &point::accounts, {4, 40, 120, 230})}) {
         for (const auto& p : points) {
-            measure(p, csv);
+            if (only.empty() || only == p.series) {
+                measure(p, csv);
+            }
         }
     }
     return 0;
--- a/benchmarks/run.sh
+++ b/benchmarks/run.sh
@@ -10,7 +10,7 @@
 decisions)
     "$build/benchmarks/decisions/decision_bench" --benchmark_out="$out/decisions.csv" \
         --benchmark_out_format=csv ;;
-capacity) "$build/benchmarks/capacity/capacity_bench" "$out/capacity.csv" ;;
+capacity) "$build/benchmarks/capacity/capacity_bench" "$out/capacity.csv" "${@:3}" ;;
 plot) gnuplot -e "csv='$out/policy.csv'; svg='docs/policy.svg'" benchmarks/policy/plot.gp ;;
 *) echo "usage: run.sh BUILD_DIR policy|decisions|capacity|plot" >&2; exit 2 ;;
 esac
--- a/libs/instance/include/instance/instance_settings.h
+++ b/libs/instance/include/instance/instance_settings.h
@@ -18,8 +18,8 @@
     time_ms append_timeout_ms = 2000;
     /** Without any answer from the log for this long it counts as unavailable. */
     time_ms log_silence_ms = 3000;
-    time_ms worker_poll_wait_ms = 1000;
-    time_ms worker_timeout_ms = 2500;
+    time_ms worker_poll_wait_ms = 1500;
+    time_ms worker_timeout_ms = 2800;
     time_ms worker_lease_ms = 10000;
     time_ms announce_interval_ms = 250;
     time_ms peer_timeout_ms = 800;
