The demonstration cancels a job only once it runs

Cause: on a fresh clone the cancelled job ended as not_run instead of failed: the cancellation overtook its start while the machine was busy. Both outcomes are truthful; the declared one is of a running job. Change: the demo waits until a worker has started the job before it cancels.

--- a/tests/demo/demo.cpp
+++ b/tests/demo/demo.cpp
@@ -1,5 +1,6 @@
 #include "test_cluster.h"
 
+#include <algorithm>
 #include <csignal>
 #include <iomanip>
 #include <iostream>
@@ -63,6 +64,16 @@
     return "unreachable";
 }
 
+/** A job that is cancelled before it starts has another outcome than one that runs. */
+void wait_started(const test_cluster& cluster, const demo_job& j) {
+    test_cluster::wait_for([&] {
+        const json history = cluster.worker_history();
+        return std::any_of(history.begin(), history.end(), [&](const json& entry) {
+            return entry.value("job", "") == j.path() && entry.value("what", "") == "start";
+        });
+    });
+}
+
 std::string placement_of(const test_cluster& cluster, int instance, const demo_job& j) {
     const json explained = cluster.get(instance, "/v1/jobs/" + j.path() + "/explain");
     std::string placed;
@@ -138,6 +149,7 @@
     for (const auto& j : jobs) {
         refusals.push_back(submit(cluster, j, instance++));
         if (j.cancel) {
+            wait_started(cluster, j);
             (void)cluster.call(0, "POST", "/v1/jobs/" + j.path() + "/cancel");
         }
     }
