Remove a job field and an outcome reason that nothing used

Change: both are gone, and preempt loses the argument that only fed the field. The integration tests were not run again for this commit.

--- a/libs/instance/src/job_report.cpp
+++ b/libs/instance/src/job_report.cpp
@@ -21,7 +21,6 @@
         return "the task failed on several good workers; correct the job and submit it anew";
     case job_reason::worker_lost:
         return "the worker was lost while it may have run; check its effect before a new request";
-    case job_reason::worker_suspect: return "the worker does not answer";
     case job_reason::result_lost: return "the holder of the result was lost; it is run again";
     case job_reason::reclaimed: return "stopped so that a guarantee could be reclaimed";
     case job_reason::urgent_work: return "stopped for urgent work";
--- a/libs/ledger/include/ledger/job.h
+++ b/libs/ledger/include/ledger/job.h
@@ -59,7 +59,6 @@
     task_failed,
     failed_everywhere,
     worker_lost,
-    worker_suspect,
     result_lost,
     reclaimed,
     urgent_work,
@@ -80,7 +79,6 @@
         {job_reason::task_failed, "task_failed"},
         {job_reason::failed_everywhere, "failed_everywhere"},
         {job_reason::worker_lost, "worker_lost"},
-        {job_reason::worker_suspect, "worker_suspect"},
         {job_reason::result_lost, "result_lost"},
         {job_reason::reclaimed, "reclaimed"},
         {job_reason::urgent_work, "urgent_work"},
@@ -162,8 +160,6 @@
     /** Guarantee cell in which it runs, if any. */
     std::string cell;
     std::vector<job_member> members;
-    /** Job for which this one is being stopped. */
-    std::string stopped_for;
     bool checkpoint_first = false;
     time_ms stop_requested_at = 0;
     /** Run time saved by the last checkpoint. */
@@ -181,9 +177,8 @@
 
 FULMARWORKS_JSON(job, id, request, request_digest, submit_offset, submitted_at, phase, reason,
                  attempt, cancel_requested, may_have_run, pinned, placed_urgent, cell, members,
-                 stopped_for, checkpoint_first, stop_requested_at, progress_ms, not_before,
-                 placed_at, started_at, ended_at, error, lost_attempts, failed_hosts, result,
-                 history)
+                 checkpoint_first, stop_requested_at, progress_ms, not_before, placed_at,
+                 started_at, ended_at, error, lost_attempts, failed_hosts, result, history)
 
 /** Returns whether a gang's members may start: all are ready, or there is only one. */
 [[nodiscard]] inline bool may_start(const job& j) {
--- a/libs/ledger/src/apply_jobs.cpp
+++ b/libs/ledger/src/apply_jobs.cpp
@@ -99,8 +99,7 @@
     return c != nullptr && c->preempt != preemption::none;
 }
 
-void preempt(fold& f, const preemption_target& target, const std::string& for_job,
-             job_reason reason) {
+void preempt(fold& f, const preemption_target& target, job_reason reason) {
     const auto victim = f.state.jobs.find(target.job);
     if (victim == f.state.jobs.end() || victim->second.attempt != target.attempt ||
         victim->second.phase != job_phase::placed || !is_preemptible(f.state, victim->second)) {
@@ -108,7 +107,6 @@
         return;
     }
     victim->second.checkpoint_first = target.checkpoint_first;
-    victim->second.stopped_for = for_job;
     count(f, "preempted." + std::string(to_string(reason)));
     begin_stopping(f, victim->second, reason);
 }
@@ -230,13 +228,13 @@
     }
     const job_reason reason = r.cell.empty() ? job_reason::urgent_work : job_reason::reclaimed;
     for (const auto& target : r.targets) {
-        preempt(f, target, r.for_job, reason);
+        preempt(f, target, reason);
     }
 }
 
 void handle(fold& f, const jobs_moved& r) {
     for (const auto& target : r.targets) {
-        preempt(f, target, "", job_reason::consolidated);
+        preempt(f, target, job_reason::consolidated);
     }
 }
 
--- a/libs/ledger/src/job_lifecycle.cpp
+++ b/libs/ledger/src/job_lifecycle.cpp
@@ -66,7 +66,6 @@
     j.reason = reason;
     j.members.clear();
     j.cell.clear();
-    j.stopped_for.clear();
     j.checkpoint_first = false;
     j.not_before = f.state.now + delay;
     enqueue(f.state, j);
