--- a/fulmarworks/command_line.h
+++ b/fulmarworks/command_line.h
@@ -48,6 +48,7 @@
 
 // Subcommands.
 exit_code run_serve(const arguments& args);
+exit_code run_entry(const arguments& args);
 exit_code run_check(const arguments& args);
 exit_code run_publish(const arguments& args);
 exit_code run_submit(const arguments& args);
--- a/fulmarworks/main.cpp
+++ b/fulmarworks/main.cpp
@@ -14,6 +14,7 @@
 
 constexpr subcommand subcommands[] = {
     {"serve", "run one instance", run_serve},
+    {"entry", "run an entry host on the platform", run_entry},
     {"check", "check a configuration", run_check},
     {"publish", "publish a configuration or edits", run_publish},
     {"submit", "submit a job", run_submit},
--- a/libs/platform/src/log_client.cpp
+++ b/libs/adapters/src/log_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/log_client.h"
+#include "adapters/log_client.h"
 
 #include "base/json.h"
 #include "snapshot_chunks.h"
--- a/libs/platform/src/peer_link.cpp
+++ b/libs/adapters/src/peer_link.cpp
@@ -1,4 +1,4 @@
-#include "platform/peer_link.h"
+#include "adapters/peer_link.h"
 
 #include <algorithm>
 #include <map>
--- a/libs/platform/src/worker_client.cpp
+++ b/libs/adapters/src/worker_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/worker_client.h"
+#include "adapters/worker_client.h"
 
 #include "base/json.h"
 
--- a/libs/base/src/time.cpp
+++ b/libs/base/src/time.cpp
@@ -1,6 +1,7 @@
 #include "base/time.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace fulmarworks {
 
@@ -19,6 +20,13 @@
     return now_of<std::chrono::steady_clock>();
 }
 
+time_ms boottime_now() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    constexpr time_ms nanoseconds_per_millisecond = 1000000;
+    return now.tv_sec * milliseconds_per_second + now.tv_nsec / nanoseconds_per_millisecond;
+}
+
 time_ms wall_now() {
     return now_of<std::chrono::system_clock>();
 }
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace fulmarworks {
 
@@ -16,6 +17,11 @@
     time_ms retry_after_ms = 0;
 };
 
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
 struct http_call {
     std::string method = "GET";
     /** IP:PORT of the server. */
@@ -24,6 +30,7 @@
     std::string target;
     std::string body;
     time_ms timeout_ms = 2000;
+    std::vector<http_header> headers = {};
 };
 
 /**
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fulmarworks {
 
@@ -17,6 +18,8 @@
     /** Raw text after the question mark. */
     std::string query;
     std::string body;
+    /** Values of the headers that `Builder::header` named, in that order; empty where absent. */
+    std::vector<std::string> headers;
 };
 
 struct http_response {
@@ -25,6 +28,8 @@
     std::string content_type = "application/json";
     /** Sent as Retry-After in whole seconds where above 0. */
     time_ms retry_after_ms = 0;
+    /** Closes the connection after this answer, so that the client's next one is balanced anew. */
+    bool close_connection = false;
 };
 
 /** Returns the value of a query parameter, decoded, or an empty text. Thread safe. */
@@ -59,6 +64,9 @@
     /** Answers a request; does nothing if the client is gone. */
     void respond(std::uint64_t token, const http_response& response);
 
+    /** Closes every connection after its next answer; new ones are still taken. */
+    void drain();
+
     /** Stops taking new connections; open ones are closed after their next answer. */
     void stop_listening();
 
@@ -78,6 +86,8 @@
     Builder& max_body_bytes(std::uint64_t value);
     /** Time in which a client must have sent its request. */
     Builder& read_timeout_ms(time_ms value);
+    /** Adds a request header that handlers want to read. */
+    Builder& header(std::string name);
     Builder& on_request(request_handler value);
     Builder& on_gone(gone_handler value);
 
@@ -88,6 +98,7 @@
     std::string address_;
     std::uint64_t max_body_bytes_ = 262144;
     time_ms read_timeout_ms_ = 10 * milliseconds_per_second;
+    std::vector<std::string> headers_;
     request_handler on_request_;
     gone_handler on_gone_;
 };
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -23,6 +23,9 @@
     if (method == "POST") {
         return EVHTTP_REQ_POST;
     }
+    if (method == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
     return method == "PUT" ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
 }
 
@@ -158,7 +161,11 @@
             static_cast<suseconds_t>(call.timeout_ms % milliseconds_per_second * 1000)};
         evhttp_connection_set_timeout_tv(connection, &timeout);
         evhttp_request* request = evhttp_request_new(completed, open);
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Host", call.address.c_str());
+        evkeyvalq* headers = evhttp_request_get_output_headers(request);
+        evhttp_add_header(headers, "Host", call.address.c_str());
+        for (const auto& h : call.headers) {
+            evhttp_add_header(headers, h.name.c_str(), h.value.c_str());
+        }
         if (!call.body.empty()) {
             evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(),
                          call.body.size());
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -29,8 +29,12 @@
     return body;
 }
 
-http_request read_request(evhtp_request_t* request) {
+http_request read_request(evhtp_request_t* request, const std::vector<std::string>& headers) {
     http_request r;
+    for (const auto& name : headers) {
+        const char* value = evhtp_header_find(request->headers_in, name.c_str());
+        r.headers.emplace_back(value == nullptr ? "" : value);
+    }
     r.method = method_name(request);
     if (request->uri != nullptr && request->uri->path != nullptr &&
         request->uri->path->full != nullptr) {
@@ -67,6 +71,7 @@
     bool draining = false;
     std::uint64_t next_token = 1;
     std::unordered_map<std::uint64_t, open_request> open;
+    std::vector<std::string> headers;
     request_handler on_request;
     gone_handler on_gone;
 
@@ -89,7 +94,7 @@
         evhtp_request_set_hook(
             request, evhtp_hook_on_request_fini,
             reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(request_finished)), &added);
-        server->on_request(read_request(request), token);
+        server->on_request(read_request(request, server->headers), token);
         const auto found = server->open.find(token);
         if (found != server->open.end()) {
             found->second.paused = true;
@@ -112,7 +117,7 @@
                 (response.retry_after_ms + milliseconds_per_second - 1) / milliseconds_per_second;
             add_header(request, "Retry-After", std::to_string(seconds));
         }
-        if (draining) {
+        if (draining || response.close_connection) {
             add_header(request, "Connection", "close");
         }
         evbuffer_add(request->buffer_out, response.body.data(), response.body.size());
@@ -137,8 +142,12 @@
     impl_->respond(token, response);
 }
 
-void http_server::stop_listening() {
+void http_server::drain() {
     impl_->draining = true;
+}
+
+void http_server::stop_listening() {
+    drain();
     if (impl_->listening) {
         evhtp_unbind_socket(impl_->htp);
         impl_->listening = false;
@@ -164,6 +173,11 @@
     return *this;
 }
 
+http_server::Builder& http_server::Builder::header(std::string name) {
+    headers_.push_back(std::move(name));
+    return *this;
+}
+
 http_server::Builder& http_server::Builder::on_request(request_handler value) {
     on_request_ = std::move(value);
     return *this;
@@ -180,6 +194,7 @@
         return parsed.error();
     }
     auto i = std::make_unique<impl>();
+    i->headers = std::move(headers_);
     i->on_request = std::move(on_request_);
     i->on_gone = std::move(on_gone_);
     i->htp = evhtp_new(loop.base(), nullptr);
--- /dev/null
+++ b/libs/node/include/node/metrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+namespace fulmarworks::node {
+
+/** Counters and histograms of one process. Not thread safe. */
+class metrics {
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    /** Adds one to a counter. Precondition: `name` and `label` are one of a small set. */
+    void count(const std::string& name, const std::string& label_name, const std::string& label);
+
+    /** Adds a latency to a histogram. */
+    void observe_ms(const std::string& name, double value_ms);
+
+    /** Sets a gauge. */
+    void set(const std::string& name, double value);
+
+    /** Returns everything in Prometheus' text format. */
+    [[nodiscard]] std::string serialize() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace fulmarworks::node
--- /dev/null
+++ b/libs/node/src/caller_api.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "gateway/classify.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "leader.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fulmarworks::node {
+
+/** What the caller API asks its process. All functions are cheap and don't block. */
+struct caller_context {
+    event_loop& loop;
+    http_client& http;
+    platform::store_client& store;
+    decision_log& log;
+    metrics& counters;
+    /** The configuration in force; null before the first and while it may be out of date. */
+    std::function<std::shared_ptr<const gateway::configuration>()> configuration;
+    /** This process's own term of leadership, or null. */
+    std::function<leader*()> own_term;
+    /** Where the leader answers other entry hosts; empty while unknown. */
+    std::function<std::string()> leader_address;
+};
+
+/**
+ * Serves callers: stores submissions, and asks the leader about everything else. Not thread safe.
+ */
+class caller_api {
+public:
+    /** Precondition: everything in `context` outlives the API. */
+    explicit caller_api(caller_context context);
+    ~caller_api();
+    caller_api(const caller_api&) = delete;
+    caller_api& operator=(const caller_api&) = delete;
+
+    using respond_handler = std::function<void(const http_response&)>;
+
+    /** Handles one request of a caller. `respond` is called exactly once. */
+    void handle(const http_request& request, respond_handler respond);
+
+    /** Answers a question that another entry host passed on. */
+    void handle_forwarded(const http_request& request, respond_handler respond);
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+/** Request headers that `handle` reads, in the order of `http_request::headers`. */
+enum caller_header : std::size_t { caller_host, caller_key, caller_patience, caller_header_count };
+
+} // namespace fulmarworks::node
--- /dev/null
+++ b/libs/node/src/decision_log.cpp
@@ -0,0 +1,90 @@
+#include "node/decision_log.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace fulmarworks::node {
+
+namespace {
+
+/** Lines of one kind a second; the busiest kind needs about 40 on a day at the platform's size. */
+constexpr std::uint32_t lines_per_second = 200;
+/** Bytes that may wait for a slow reader. */
+constexpr std::size_t buffer_limit = 128 * 1024;
+/** Bytes that are collected before they are written, to save system calls. */
+constexpr std::size_t write_size = 4096;
+
+} // namespace
+
+decision_log::decision_log(std::string name) : name_(std::move(name)) {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL, 0);
+    if (flags >= 0) {
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+void decision_log::append_line(std::string_view event, std::string_view fields) {
+    if (buffer_.size() + event.size() + fields.size() > buffer_limit) {
+        ++dropped_;
+        return;
+    }
+    buffer_ += "ts=" + std::to_string(wall_now()) + " node=" + name_ + " event=";
+    buffer_ += event;
+    buffer_ += ' ';
+    buffer_ += fields;
+    buffer_ += '\n';
+}
+
+void decision_log::start_second(time_ms second) {
+    second_ = second;
+    for (auto& [event, b] : budgets_) {
+        if (b.suppressed > 0) {
+            append_line("suppressed", "kind=" + event + " lines=" + std::to_string(b.suppressed));
+        }
+        b = {};
+    }
+}
+
+void decision_log::write(std::string_view event, std::string_view fields) {
+    const time_ms second = monotonic_now() / milliseconds_per_second;
+    if (second != second_) {
+        start_second(second);
+    }
+    auto found = budgets_.find(event);
+    if (found == budgets_.end()) {
+        found = budgets_.emplace(std::string(event), budget{}).first;
+    }
+    if (++found->second.used > lines_per_second) {
+        ++found->second.suppressed;
+        return;
+    }
+    append_line(event, fields);
+    if (buffer_.size() >= write_size) {
+        flush();
+    }
+}
+
+void decision_log::flush() {
+    while (!buffer_.empty()) {
+        const ssize_t written = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+        if (written > 0) {
+            buffer_.erase(0, static_cast<std::size_t>(written));
+            continue;
+        }
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written < 0 && errno != EAGAIN) {
+            buffer_.clear(); // nobody reads any more
+        }
+        break;
+    }
+    if (dropped_ > 0 && buffer_.size() < buffer_limit / 2) {
+        const std::uint64_t lines = dropped_;
+        dropped_ = 0;
+        append_line("dropped", "reason=slow_reader lines=" + std::to_string(lines));
+    }
+}
+
+} // namespace fulmarworks::node
--- /dev/null
+++ b/libs/node/src/entry_node.cpp
@@ -0,0 +1,333 @@
+#include "node/entry_node.h"
+
+#include "caller_api.h"
+#include "leader.h"
+#include "leadership.h"
+#include "platform/documents.h"
+#include "platform/headers.h"
+#include "topic_follower.h"
+
+#include <random>
+
+namespace fulmarworks::node {
+
+namespace {
+
+constexpr time_ms tick_ms = 50;
+/** Wait of a read for the operator's documents; a third of the time to take a change over. */
+constexpr time_ms operator_wait_ms = 650;
+constexpr time_ms lease_wait_ms = 1000;
+/** A renewal without an answer is repeated after this; longer than a slow store's answer. */
+constexpr time_ms lease_write_timeout_ms = 600;
+/** Spread of candidates for a vacant lease. */
+constexpr time_ms largest_jitter_ms = 120;
+/** Part of the configuration bound that is left for the way of a request. */
+constexpr time_ms configuration_margin_ms = 150;
+/** Time for which a stopping host still takes connections, until its balancer has noticed. */
+constexpr time_ms lame_duck_ms = 2300;
+/** Part of the grace period that is left for the exit itself. */
+constexpr time_ms exit_margin_ms = 700;
+
+constexpr const char* plain_text = "text/plain; version=0.0.4";
+
+} // namespace
+
+struct entry_node::impl : std::enable_shared_from_this<impl> {
+    event_loop& loop;
+    node_settings settings;
+    decision_log log;
+    metrics counters;
+    http_client http;
+    platform::store_client store;
+    std::mt19937_64 random{std::random_device{}()};
+
+    std::shared_ptr<const gateway::configuration> configuration;
+    std::unique_ptr<topic_follower> documents;
+    std::unique_ptr<topic_follower> leases;
+    leadership_state leadership;
+    std::unique_ptr<leader> term;
+    std::unique_ptr<caller_api> callers;
+    std::unique_ptr<http_server> caller_server;
+    std::unique_ptr<http_server> readiness_server;
+    std::unique_ptr<http_server> internal_server;
+
+    bool store_reachable = true;
+    bool stopping = false;
+    time_ms stop_began_at = 0;
+
+    impl(event_loop& l, const node_settings& s)
+        : loop(l), settings(s), log(s.name), http(l), store(http, s.store_address) {
+        leadership.name = s.name;
+        leadership.address = s.internal_address();
+        leadership.incarnation = random();
+        leadership.incarnation &= 0x7fffffffffffffff;
+    }
+
+    result<void> listen() {
+        auto caller = http_server::Builder()
+                          .address(settings.caller_address)
+                          .header(platform::host_header)
+                          .header(platform::api_key_header)
+                          .header(platform::patience_header)
+                          .max_body_bytes(1024 * 1024)
+                          .read_timeout_ms(60 * milliseconds_per_second)
+                          .on_request([this](const http_request& request, std::uint64_t token) {
+                              callers->handle(request, [this, token](const http_response& r) {
+                                  caller_server->respond(token, r);
+                              });
+                          })
+                          .build(loop);
+        if (!caller) {
+            return caller.error();
+        }
+        caller_server = std::move(caller.value());
+        auto readiness =
+            http_server::Builder()
+                .address(settings.readiness_address)
+                .read_timeout_ms(60 * milliseconds_per_second)
+                .on_request([this](const http_request&, std::uint64_t token) {
+                    http_response response;
+                    response.status = ready() ? 200 : 503;
+                    readiness_server->respond(token, response);
+                })
+                .build(loop);
+        if (!readiness) {
+            return readiness.error();
+        }
+        readiness_server = std::move(readiness.value());
+        auto internal = http_server::Builder()
+                            .address(settings.internal_address())
+                            .read_timeout_ms(60 * milliseconds_per_second)
+                            .on_request([this](const http_request& request, std::uint64_t token) {
+                                handle_internal(request, token);
+                            })
+                            .build(loop);
+        if (!internal) {
+            return internal.error();
+        }
+        internal_server = std::move(internal.value());
+        return boost::outcome_v2::success();
+    }
+
+    void begin() {
+        callers = std::make_unique<caller_api>(
+            caller_context{loop, http, store, log, counters, [this] { return in_force(); },
+                           [this] { return term.get(); },
+                           [this] { return leader_address(leadership); }});
+        follow_documents();
+        follow_leases();
+        later(tick_ms, [](impl& i) { i.tick(); });
+    }
+
+    template <class Step>
+    void later(time_ms delay_ms, Step step) {
+        loop.after(delay_ms, [self = weak_from_this(), step] {
+            if (const auto alive = self.lock()) {
+                step(*alive);
+            }
+        });
+    }
+
+    /** Returns the configuration, unless a newer one may be in force elsewhere already. */
+    std::shared_ptr<const gateway::configuration> in_force() const {
+        const time_ms oldest =
+            boottime_now() - settings.configuration_bound_ms + configuration_margin_ms;
+        return documents->confirmed_at_ms() >= oldest ? configuration : nullptr;
+    }
+
+    bool ready() const { return !stopping && in_force() != nullptr; }
+
+    void handle_internal(const http_request& request, std::uint64_t token) {
+        if (request.path == "/metrics") {
+            counters.set("leader", is_leader(leadership) ? 1 : 0);
+            counters.set("store_calls", static_cast<double>(store.calls()));
+            http_response response;
+            response.content_type = plain_text;
+            response.body = counters.serialize();
+            internal_server->respond(token, response);
+            return;
+        }
+        callers->handle_forwarded(request, [this, token](const http_response& response) {
+            internal_server->respond(token, response);
+        });
+    }
+
+    void follow_documents() {
+        follower_options options;
+        options.where = platform::topic::operator_documents;
+        options.wait_ms = operator_wait_ms;
+        options.on_snapshot = [this](const auto& records) {
+            for (const auto& record : records) {
+                document_read(record);
+            }
+        };
+        options.on_record = [this](const auto& record) { document_read(record); };
+        options.on_read = [this](bool ok) { store_read(ok); };
+        documents = std::make_unique<topic_follower>(loop, store, std::move(options));
+    }
+
+    void store_read(bool ok) {
+        if (ok != store_reachable) {
+            store_reachable = ok;
+            log.write(ok ? "store_regained" : "store_lost", "address=" + settings.store_address);
+        }
+    }
+
+    void document_read(const platform::logged_record& record) {
+        if (record.key != platform::configuration_key || record.value.empty()) {
+            return;
+        }
+        auto decoded = platform::decode_configuration(record.value);
+        if (!decoded) {
+            log.write("configuration_unreadable",
+                      "offset=" + std::to_string(record.offset) + " error=\"" +
+                          describe(decoded.error()) + "\"");
+            return;
+        }
+        if (configuration && decoded.value().version <= configuration->version) {
+            return;
+        }
+        log.write("configuration_in_force",
+                  "version=" + std::to_string(decoded.value().version) +
+                      " routes=" + std::to_string(decoded.value().routes.size()) +
+                      " keys=" + std::to_string(decoded.value().account_by_key.size()));
+        configuration =
+            std::make_shared<const gateway::configuration>(std::move(decoded.value()));
+        if (term) {
+            term->set_guarantees(configuration->guarantees);
+        }
+    }
+
+    void follow_leases() {
+        follower_options options;
+        options.where = platform::topic::leadership;
+        options.wait_ms = lease_wait_ms;
+        options.on_snapshot = [this](const auto& records) {
+            for (const auto& record : records) {
+                lease_record_read(record);
+            }
+        };
+        options.on_record = [this](const auto& record) { lease_record_read(record); };
+        options.on_read = [this](bool ok) {
+            log_read(leadership, boottime_now(), ok, ok ? leases->end() : 0);
+            update_term();
+        };
+        leases = std::make_unique<topic_follower>(loop, store, std::move(options));
+    }
+
+    void lease_record_read(const platform::logged_record& record) {
+        const auto decoded = decode_lease(record.value);
+        if (!decoded) {
+            log.write("lease_unreadable", "offset=" + std::to_string(record.offset));
+            return;
+        }
+        const bool known = leadership.newest && leadership.newest->name == decoded.value().name;
+        if (!known) {
+            log.write("leader_seen", "leader=" + decoded.value().name +
+                                         " offset=" + std::to_string(record.offset));
+        }
+        lease_read(leadership, boottime_now(), record.offset, decoded.value());
+    }
+
+    void write_lease() {
+        const time_ms jitter =
+            static_cast<time_ms>(random() % static_cast<std::uint64_t>(largest_jitter_ms));
+        const auto due = due_write(leadership, boottime_now(), jitter);
+        if (!due) {
+            return;
+        }
+        platform::append_request request;
+        request.where = platform::topic::leadership;
+        request.records = {{"leader", encode_lease(due->record)}};
+        request.expected_end = due->expected_end;
+        request.timeout_ms = lease_write_timeout_ms;
+        store.append(request,
+                     [self = weak_from_this()](const platform::append_outcome& outcome) {
+                         if (const auto alive = self.lock()) {
+                             alive->lease_written(outcome);
+                         }
+                     });
+    }
+
+    void lease_written(const platform::append_outcome& outcome) {
+        write_done(leadership, boottime_now(), outcome.status == platform::store_status::ok,
+                   outcome.offset);
+        update_term();
+    }
+
+    /** Starts or ends this host's term as its leadership came or went. */
+    void update_term() {
+        if (is_leader(leadership) && !term && !stopping) {
+            term = std::make_unique<leader>(
+                leader_context{loop, http, store, log, counters, settings.limits},
+                leadership.epoch, configuration ? configuration->guarantees
+                                                : scheduler::guarantees{},
+                [this] { resign(leadership); });
+        } else if (!is_leader(leadership) && term) {
+            log.write("leader_stopped", "");
+            term.reset();
+        }
+    }
+
+    void tick() {
+        write_lease();
+        update_term();
+        log.flush();
+        if (stopping) {
+            continue_stopping();
+        }
+        later(tick_ms, [](impl& i) { i.tick(); });
+    }
+
+    void continue_stopping() {
+        const time_ms stopped_for = boottime_now() - stop_began_at;
+        const bool idle = caller_server->open_requests() == 0 && !term;
+        if ((idle && stopped_for >= lame_duck_ms) ||
+            stopped_for >= settings.stop_grace_ms - exit_margin_ms) {
+            log.write("node_stopped",
+                      "open_requests=" + std::to_string(caller_server->open_requests()));
+            log.flush();
+            loop.stop();
+        }
+    }
+};
+
+entry_node::entry_node(std::shared_ptr<impl> i) : impl_(std::move(i)) {}
+
+entry_node::~entry_node() {
+    impl_->term.reset();
+}
+
+result<std::unique_ptr<entry_node>> entry_node::start(event_loop& loop,
+                                                      const node_settings& settings) {
+    auto i = std::make_shared<impl>(loop, settings);
+    i->log.write("node_started", "address=" + settings.caller_address +
+                                     " failure_domain=" + settings.failure_domain +
+                                     " store=" + settings.store_address);
+    const auto listening = i->listen();
+    if (!listening) {
+        return listening.error();
+    }
+    i->begin();
+    return std::unique_ptr<entry_node>(new entry_node(std::move(i)));
+}
+
+void entry_node::reload(const node_settings& settings) {
+    impl_->settings.limits = settings.limits;
+    impl_->settings.configuration_bound_ms = settings.configuration_bound_ms;
+    impl_->log.write("settings_reloaded", "");
+}
+
+void entry_node::shut_down() {
+    if (impl_->stopping) {
+        return;
+    }
+    impl_->stopping = true;
+    impl_->stop_began_at = boottime_now();
+    impl_->log.write("node_stopping",
+                     "open_requests=" + std::to_string(impl_->caller_server->open_requests()));
+    impl_->caller_server->drain();
+    request_release(impl_->leadership);
+}
+
+} // namespace fulmarworks::node
--- /dev/null
+++ b/libs/node/src/leader.cpp
@@ -0,0 +1,466 @@
+#include "leader.h"
+
+#include "platform/documents.h"
+#include "scheduler/codec.h"
+#include "scheduler/coordinator.h"
+#include "topic_follower.h"
+
+#include <unordered_map>
+
+namespace fulmarworks::node {
+
+namespace {
+
+/** Interval of the coordinator's housekeeping. */
+constexpr time_ms tick_ms = 25;
+/** The registry changes with every heartbeat; reading it in batches saves calls. */
+constexpr time_ms registry_interval_ms = 300;
+constexpr time_ms submission_wait_ms = 1000;
+constexpr time_ms store_retry_ms = 60;
+constexpr time_ms store_timeout_ms = 1000;
+
+std::string_view name_of(scheduler::job_state state) {
+    switch (state) {
+    case scheduler::job_state::queued: return "queued";
+    case scheduler::job_state::running: return "running";
+    case scheduler::job_state::completed: return "completed";
+    case scheduler::job_state::failed: return "failed";
+    case scheduler::job_state::cancelled: return "cancelled";
+    }
+    return "";
+}
+
+scheduler::job_state shown_state(const scheduler::job& j) {
+    const bool final_state = j.visible_state != scheduler::job_state::queued &&
+                             j.visible_state != scheduler::job_state::running;
+    if (final_state) {
+        return j.visible_state;
+    }
+    return j.started ? scheduler::job_state::running : scheduler::job_state::queued;
+}
+
+scheduler::instant now() {
+    return {boottime_now(), wall_now()};
+}
+
+} // namespace
+
+struct leader::impl : std::enable_shared_from_this<impl> {
+    leader_context context;
+    platform::worker_client workers;
+    std::uint64_t epoch = 0;
+    scheduler::guarantees accounts;
+    std::function<void()> on_deposed;
+
+    bool stopped = false;
+    bool fenced_out = false;
+    bool progress_loaded = false;
+    bool recovered = false;
+    std::uint64_t sequence = 0;
+    time_ms began_at = 0;
+
+    std::unordered_map<std::string, std::string> loaded_progress;
+    std::unordered_map<std::string, std::string> loaded_submissions;
+    std::vector<platform::logged_record> loaded_registry;
+    std::optional<scheduler::coordinator_state> state;
+    std::vector<platform::keyed_record> batch;
+
+    std::uint64_t next_request = 1;
+    std::unordered_map<std::uint64_t, std::function<void(const job_answer&)>> cancels;
+
+    std::unique_ptr<topic_follower> submissions;
+    std::unique_ptr<topic_follower> registry;
+
+    explicit impl(const leader_context& c) : context(c), workers(c.http) {}
+
+    template <class Step>
+    void later(time_ms delay_ms, Step step) {
+        context.loop.after(delay_ms, [self = weak_from_this(), step] {
+            if (const auto alive = self.lock(); alive && !alive->stopped) {
+                step(*alive);
+            }
+        });
+    }
+
+    /** Wraps a handler so that it is skipped once the term has ended. */
+    template <class Handler>
+    auto guarded(Handler handler) {
+        return [self = weak_from_this(), handler](const auto& value) {
+            if (const auto alive = self.lock(); alive && !alive->stopped) {
+                handler(*alive, value);
+            }
+        };
+    }
+
+    void begin() {
+        began_at = boottime_now();
+        workers.set_fencing_token(epoch);
+        context.log.write("leader_started", "epoch=" + std::to_string(epoch));
+        fence();
+        follow_submissions();
+        follow_registry();
+        later(tick_ms, [](impl& i) { i.tick(); });
+    }
+
+    void depose(const char* reason) {
+        if (fenced_out) {
+            return;
+        }
+        fenced_out = true;
+        context.log.write("leader_deposed",
+                          "epoch=" + std::to_string(epoch) + " reason=" + reason);
+        later(0, [](impl& i) { i.on_deposed(); });
+    }
+
+    /** Raises the store's epoch, so that no write of an earlier leader can follow. */
+    void fence() {
+        platform::append_request request;
+        request.where = platform::topic::progress;
+        request.writer = platform::writer_position{epoch, sequence};
+        request.timeout_ms = store_timeout_ms;
+        context.store.append(request,
+                             guarded([](impl& i, const platform::append_outcome& outcome) {
+                                 i.fence_done(outcome);
+                             }));
+    }
+
+    void fence_done(const platform::append_outcome& outcome) {
+        if (outcome.status == platform::store_status::fenced) {
+            depose("store_fenced");
+        } else if (outcome.status == platform::store_status::ok ||
+                   outcome.status == platform::store_status::out_of_sequence) {
+            load_progress("");
+        } else {
+            later(store_retry_ms, [](impl& i) { i.fence(); });
+        }
+    }
+
+    void load_progress(const std::string& after) {
+        context.store.newest(platform::topic::progress, after,
+                             guarded([after](impl& i, const platform::newest_outcome& page) {
+                                 i.progress_page(page, after);
+                             }));
+    }
+
+    void progress_page(const platform::newest_outcome& page, const std::string& after) {
+        if (page.status != platform::store_status::ok) {
+            later(store_retry_ms, [after](impl& i) { i.load_progress(after); });
+            return;
+        }
+        for (const auto& record : page.records) {
+            loaded_progress[record.key] = record.value;
+        }
+        if (page.has_more && !page.records.empty()) {
+            load_progress(page.records.back().key);
+            return;
+        }
+        progress_loaded = true;
+        try_recover();
+    }
+
+    void follow_submissions() {
+        follower_options options;
+        options.where = platform::topic::submissions;
+        options.wait_ms = submission_wait_ms;
+        options.on_snapshot = [this](const auto& records) {
+            for (const auto& record : records) {
+                submission_read(record);
+            }
+            try_recover();
+        };
+        options.on_record = [this](const auto& record) { submission_read(record); };
+        submissions =
+            std::make_unique<topic_follower>(context.loop, context.store, std::move(options));
+    }
+
+    void follow_registry() {
+        follower_options options;
+        options.where = platform::topic::worker_registry;
+        options.wait_ms = 0;
+        options.pause_ms = registry_interval_ms;
+        options.on_snapshot = [this](const auto& records) {
+            if (!state) {
+                loaded_registry = records;
+                try_recover();
+            } else {
+                replace_registry(records);
+            }
+        };
+        options.on_record = [this](const auto& record) { registry_read(record); };
+        registry =
+            std::make_unique<topic_follower>(context.loop, context.store, std::move(options));
+    }
+
+    void submission_read(const platform::logged_record& record) {
+        if (!state) {
+            loaded_submissions[record.key] = record.value;
+            return;
+        }
+        if (record.value.empty() || state->jobs.contains(record.key)) {
+            return;
+        }
+        auto spec = scheduler::decode_job_spec(record.value);
+        if (!spec) {
+            context.log.write("submission_unreadable", "request=" + record.key + " error=\"" +
+                                                           describe(spec.error()) + "\"");
+            return;
+        }
+        spec.value().id = record.key;
+        handle(scheduler::job_submitted{std::move(spec.value())});
+    }
+
+    void registry_read(const platform::logged_record& record) {
+        if (!state) {
+            loaded_registry.push_back(record);
+            return;
+        }
+        if (record.value.empty()) {
+            handle(scheduler::worker_unlisted{record.key});
+            return;
+        }
+        auto report = platform::decode_worker_report(record.key, record.value);
+        if (!report) {
+            context.log.write("worker_entry_unreadable", "worker=" + record.key + " error=\"" +
+                                                             describe(report.error()) + "\"");
+            handle(scheduler::worker_unlisted{record.key});
+            return;
+        }
+        handle(scheduler::worker_reported{std::move(report.value())});
+    }
+
+    void replace_registry(const std::vector<platform::logged_record>& records) {
+        std::set<std::string> present;
+        for (const auto& record : records) {
+            present.insert(record.key);
+        }
+        std::vector<std::string> missing;
+        for (const auto& [id, w] : state->workers) {
+            if (!present.contains(id)) {
+                missing.push_back(id);
+            }
+        }
+        for (const auto& id : missing) {
+            handle(scheduler::worker_unlisted{id});
+        }
+        for (const auto& record : records) {
+            registry_read(record);
+        }
+    }
+
+    void try_recover() {
+        if (state || !progress_loaded || !submissions || !submissions->loaded() || !registry ||
+            !registry->loaded()) {
+            return;
+        }
+        std::vector<scheduler::stored_job> jobs;
+        for (auto& [id, data] : loaded_submissions) {
+            if (data.empty()) {
+                continue;
+            }
+            auto spec = scheduler::decode_job_spec(data);
+            if (!spec) {
+                context.log.write("submission_unreadable", "request=" + id + " error=\"" +
+                                                               describe(spec.error()) + "\"");
+                continue;
+            }
+            spec.value().id = id;
+            const auto progress = loaded_progress.find(id);
+            jobs.push_back({std::move(spec.value()),
+                            progress == loaded_progress.end() ? "" : progress->second});
+        }
+        loaded_submissions.clear();
+        loaded_progress.clear();
+        const std::size_t count = jobs.size();
+        state = scheduler::recover(context.limits, std::move(jobs), now());
+        context.log.write("leader_ready",
+                          "epoch=" + std::to_string(epoch) + " jobs=" + std::to_string(count) +
+                              " took_ms=" + std::to_string(boottime_now() - began_at));
+        handle(scheduler::guarantees_changed{accounts});
+        const auto records = std::move(loaded_registry);
+        loaded_registry.clear();
+        for (const auto& record : records) {
+            registry_read(record);
+        }
+        handle(scheduler::tick{});
+    }
+
+    void tick() {
+        if (state) {
+            handle(scheduler::tick{});
+        }
+        later(tick_ms, [](impl& i) { i.tick(); });
+    }
+
+    void handle(const scheduler::event& e) {
+        if (!state || fenced_out) {
+            return;
+        }
+        scheduler::effects out;
+        scheduler::reduce(*state, now(), e, out);
+        for (auto& effect : out) {
+            std::visit([this](auto& one) { carry_out(one); }, effect);
+        }
+    }
+
+    void carry_out(scheduler::store_records& records) {
+        batch.clear();
+        for (auto& r : records.records) {
+            batch.push_back({std::move(r.job), std::move(r.value)});
+        }
+        ++sequence;
+        store_batch();
+    }
+
+    void store_batch() {
+        platform::append_request request;
+        request.where = platform::topic::progress;
+        request.records = batch;
+        request.writer = platform::writer_position{epoch, sequence};
+        request.timeout_ms = store_timeout_ms;
+        context.store.append(request,
+                             guarded([](impl& i, const platform::append_outcome& outcome) {
+                                 i.batch_done(outcome);
+                             }));
+    }
+
+    void batch_done(const platform::append_outcome& outcome) {
+        switch (outcome.status) {
+        case platform::store_status::ok:
+            batch.clear();
+            handle(scheduler::records_stored{});
+            return;
+        case platform::store_status::fenced: depose("store_fenced"); return;
+        case platform::store_status::out_of_sequence:
+            context.log.write("store_sequence", "sent=" + std::to_string(sequence) +
+                                                    " expected=" +
+                                                    std::to_string(outcome.expected_sequence));
+            sequence = outcome.expected_sequence;
+            later(store_retry_ms, [](impl& i) { i.store_batch(); });
+            return;
+        default:
+            context.counters.count("store_retries_total", "call", "progress");
+            later(store_retry_ms, [](impl& i) { i.store_batch(); });
+            return;
+        }
+    }
+
+    void carry_out(const scheduler::send_start& order) {
+        context.counters.count("orders_total", "kind", "start");
+        workers.start(order, guarded([](impl& i, const scheduler::start_answered& answer) {
+                          i.handle(answer);
+                      }));
+    }
+
+    void carry_out(const scheduler::send_stop& order) {
+        context.counters.count("orders_total", "kind", "stop");
+        workers.stop(order, guarded([](impl& i, const scheduler::stop_answered& answer) {
+                         i.handle(answer);
+                     }));
+    }
+
+    void carry_out(const scheduler::send_poll& order) {
+        const time_ms sent_at = boottime_now();
+        workers.poll(order, guarded([sent_at](impl& i, const scheduler::event& answer) {
+                         i.poll_done(answer, sent_at);
+                     }));
+    }
+
+    void poll_done(scheduler::event answer, time_ms sent_at) {
+        if (auto* answered = std::get_if<scheduler::poll_answered>(&answer)) {
+            answered->sent_at_ms = sent_at;
+        }
+        handle(answer);
+    }
+
+    void carry_out(const scheduler::answer_cancel& answer) {
+        const auto found = cancels.find(answer.request);
+        if (found == cancels.end()) {
+            return;
+        }
+        const auto done = std::move(found->second);
+        cancels.erase(found);
+        done({true, answer.known, ""});
+    }
+
+    void carry_out(const scheduler::leadership_lost&) { depose("worker_fenced"); }
+
+    void carry_out(const scheduler::decision& d) { context.log.write(d.name, d.fields); }
+
+    [[nodiscard]] job_answer look_up(const std::string& id) const {
+        const auto found = state->jobs.find(id);
+        if (found == state->jobs.end()) {
+            return {true, false, ""};
+        }
+        return {true, true, std::string(name_of(shown_state(*found->second)))};
+    }
+};
+
+leader::leader(const leader_context& context, std::uint64_t epoch, scheduler::guarantees accounts,
+               std::function<void()> on_deposed)
+    : impl_(std::make_shared<impl>(context)) {
+    impl_->epoch = epoch;
+    impl_->accounts = std::move(accounts);
+    impl_->on_deposed = std::move(on_deposed);
+    impl_->begin();
+}
+
+leader::~leader() {
+    impl_->stopped = true;
+    for (auto& [request, done] : impl_->cancels) {
+        done({});
+    }
+}
+
+bool leader::ready() const {
+    return impl_->state.has_value() && !impl_->fenced_out;
+}
+
+void leader::set_guarantees(const scheduler::guarantees& accounts) {
+    impl_->accounts = accounts;
+    impl_->handle(scheduler::guarantees_changed{accounts});
+}
+
+void leader::query(const std::string& job, std::function<void(const job_answer&)> done) {
+    if (!ready()) {
+        done({});
+        return;
+    }
+    const job_answer answer = impl_->look_up(job);
+    if (answer.known) {
+        done(answer);
+        return;
+    }
+    // The submission may be stored and not read yet.
+    impl_->context.store.read(
+        platform::topic::submissions, impl_->submissions->end(), 0,
+        [self = std::weak_ptr<impl>(impl_), job, done](const platform::read_outcome& outcome) {
+            const auto alive = self.lock();
+            if (!alive || alive->stopped || outcome.status != platform::store_status::ok) {
+                done({});
+                return;
+            }
+            for (const auto& record : outcome.records) {
+                alive->submission_read(record);
+            }
+            done(alive->look_up(job));
+        });
+}
+
+void leader::cancel(const std::string& job, std::function<void(const job_answer&)> done) {
+    query(job, [self = std::weak_ptr<impl>(impl_), job, done](const job_answer& answer) {
+        const auto alive = self.lock();
+        if (!alive || alive->stopped || !answer.known) {
+            done(answer);
+            return;
+        }
+        const std::uint64_t request = alive->next_request++;
+        alive->cancels[request] = done;
+        alive->handle(scheduler::cancel_requested{job, request});
+    });
+}
+
+std::size_t leader::pending(const std::string& queue) const {
+    return ready() ? scheduler::pending_jobs(*impl_->state, queue) : 0;
+}
+
+} // namespace fulmarworks::node
--- /dev/null
+++ b/libs/node/src/node_settings.cpp
@@ -0,0 +1,111 @@
+#include "node/node_settings.h"
+
+#include "http/http_server.h"
+
+#include <yaml-cpp/yaml.h>
+
+namespace fulmarworks::node {
+
+namespace {
+
+/** Reads nested keys and collects what is wrong with them. */
+class reader {
+public:
+    explicit reader(const YAML::Node& root) : root_(root) {}
+
+    void text(const char* key, std::string& value) {
+        read(key, value);
+        if (value.empty()) {
+            add_fault(key, "is missing");
+        }
+    }
+
+    void address(const char* key, std::string& value) {
+        text(key, value);
+        if (!value.empty() && !parse_address(value)) {
+            add_fault(key, "is not IP:PORT");
+        }
+    }
+
+    template <class Number>
+    void positive(const char* key, Number& value) {
+        read(key, value);
+        if (!(value > 0)) {
+            add_fault(key, "must be above 0");
+        }
+    }
+
+    void seconds(const char* key, time_ms& value) {
+        double in_seconds = static_cast<double>(value) / milliseconds_per_second;
+        positive(key, in_seconds);
+        value = static_cast<time_ms>(in_seconds * milliseconds_per_second);
+    }
+
+    [[nodiscard]] const std::string& faults() const { return faults_; }
+
+private:
+    template <class T>
+    void read(const char* key, T& value) {
+        const YAML::Node node = root_[key];
+        if (!node.IsDefined() || node.IsNull()) {
+            return;
+        }
+        try {
+            value = node.as<T>();
+        } catch (const YAML::Exception&) {
+            add_fault(key, "has the wrong type");
+        }
+    }
+
+    void add_fault(const char* key, const char* what) {
+        faults_ += faults_.empty() ? "" : ", ";
+        faults_ += std::string(key) + " " + what;
+    }
+
+    const YAML::Node& root_;
+    std::string faults_;
+};
+
+} // namespace
+
+std::string node_settings::internal_address() const {
+    return ip + ":" + std::to_string(internal_port);
+}
+
+result<node_settings> parse_node_settings(std::string_view yaml) {
+    YAML::Node root;
+    try {
+        root = YAML::Load(std::string(yaml));
+    } catch (const YAML::Exception& e) {
+        return error{error_kind::malformed_data, std::string("the settings are not YAML: ") + e.what(),
+                     "correct the file at the place named"};
+    }
+    if (!root.IsMap()) {
+        return error{error_kind::malformed_data, "the settings are not a mapping",
+                     "write one key: value a line"};
+    }
+    node_settings s;
+    reader r(root);
+    r.text("name", s.name);
+    r.text("failure_domain", s.failure_domain);
+    r.text("ip", s.ip);
+    r.address("caller_address", s.caller_address);
+    r.address("readiness_address", s.readiness_address);
+    r.address("store_address", s.store_address);
+    r.positive("internal_port", s.internal_port);
+    r.seconds("stop_grace_s", s.stop_grace_ms);
+    r.positive("configuration_bound_ms", s.configuration_bound_ms);
+    r.positive("max_lease_ms", s.limits.max_lease_ms);
+    r.positive("stop_timeout_ms", s.limits.stop_timeout_ms);
+    r.positive("gang_timeout_ms", s.limits.gang_timeout_ms);
+    r.positive("reclaim_ms", s.limits.reclaim_ms);
+    r.positive("remote_factor", s.limits.remote_factor);
+    r.seconds("status_retention_s", s.limits.status_retention_ms);
+    if (!r.faults().empty()) {
+        return error{error_kind::invalid_argument, "settings: " + r.faults(),
+                     "correct the settings file; docs/OPERATORS.md lists the keys"};
+    }
+    return s;
+}
+
+} // namespace fulmarworks::node
--- /dev/null
+++ b/libs/node/src/topic_follower.cpp
@@ -0,0 +1,148 @@
+#include "topic_follower.h"
+
+namespace fulmarworks::node {
+
+namespace {
+
+/** Pause after a failed read. */
+constexpr time_ms retry_pause_ms = 150;
+
+} // namespace
+
+struct topic_follower::impl : std::enable_shared_from_this<impl> {
+    event_loop& loop;
+    platform::store_client& store;
+    follower_options options;
+    bool stopped = false;
+    bool loaded = false;
+    std::uint64_t next = 0;
+    std::uint64_t first_end = 0;
+    time_ms confirmed_at = 0;
+    std::vector<platform::logged_record> page_records;
+
+    impl(event_loop& l, platform::store_client& s, follower_options o)
+        : loop(l), store(s), options(std::move(o)) {}
+
+    template <class Step>
+    void later(time_ms delay_ms, Step step) {
+        loop.after(delay_ms, [self = weak_from_this(), step] {
+            if (const auto alive = self.lock(); alive && !alive->stopped) {
+                step(*alive);
+            }
+        });
+    }
+
+    void report(bool ok) const {
+        if (options.on_read) {
+            options.on_read(ok);
+        }
+    }
+
+    void load() {
+        page_records.clear();
+        load_page("", boottime_now());
+    }
+
+    void load_page(const std::string& after, time_ms began_at) {
+        const bool first = after.empty();
+        store.newest(options.where, after,
+                     [self = weak_from_this(), first,
+                      began_at](const platform::newest_outcome& page) {
+                         const auto alive = self.lock();
+                         if (alive && !alive->stopped) {
+                             alive->page_loaded(page, first, began_at);
+                         }
+                     });
+    }
+
+    void page_loaded(const platform::newest_outcome& page, bool first, time_ms began_at) {
+        if (page.status != platform::store_status::ok) {
+            report(false);
+            later(retry_pause_ms, [](impl& i) { i.load(); });
+            return;
+        }
+        if (first) {
+            first_end = page.end; // later pages may hold newer records, which are then read again
+        }
+        page_records.insert(page_records.end(), page.records.begin(), page.records.end());
+        if (page.has_more && !page.records.empty()) {
+            load_page(page.records.back().key, began_at);
+            return;
+        }
+        loaded = true;
+        next = first_end;
+        confirmed_at = began_at;
+        const auto records = std::move(page_records);
+        page_records.clear();
+        if (options.on_snapshot) {
+            options.on_snapshot(records);
+        }
+        report(true);
+        read();
+    }
+
+    void read() {
+        if (stopped) {
+            return;
+        }
+        const time_ms sent_at = boottime_now();
+        store.read(options.where, next, options.wait_ms,
+                   [self = weak_from_this(), sent_at](const platform::read_outcome& outcome) {
+                       const auto alive = self.lock();
+                       if (alive && !alive->stopped) {
+                           alive->read_done(outcome, sent_at);
+                       }
+                   });
+    }
+
+    void read_done(const platform::read_outcome& outcome, time_ms sent_at) {
+        if (outcome.status == platform::store_status::trimmed) {
+            load();
+            return;
+        }
+        if (outcome.status != platform::store_status::ok) {
+            report(false);
+            later(retry_pause_ms, [](impl& i) { i.read(); });
+            return;
+        }
+        next = outcome.next;
+        confirmed_at = sent_at;
+        const auto alive = shared_from_this();
+        for (const auto& record : outcome.records) {
+            if (stopped) {
+                return;
+            }
+            options.on_record(record);
+        }
+        report(true);
+        if (options.pause_ms > 0) {
+            later(options.pause_ms, [](impl& i) { i.read(); });
+        } else {
+            read();
+        }
+    }
+};
+
+topic_follower::topic_follower(event_loop& loop, platform::store_client& store,
+                               follower_options options)
+    : impl_(std::make_shared<impl>(loop, store, std::move(options))) {
+    impl_->load();
+}
+
+topic_follower::~topic_follower() {
+    impl_->stopped = true;
+}
+
+bool topic_follower::loaded() const {
+    return impl_->loaded;
+}
+
+time_ms topic_follower::confirmed_at_ms() const {
+    return impl_->confirmed_at;
+}
+
+std::uint64_t topic_follower::end() const {
+    return impl_->next;
+}
+
+} // namespace fulmarworks::node
--- /dev/null
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "scheduler/effect.h"
+#include "scheduler/event.h"
+#include "scheduler/settings.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarworks::scheduler {
+
+/** The two clocks that decisions read. */
+struct instant {
+    /** Never goes back; counts suspended time. */
+    time_ms monotonic_ms = 0;
+    /** May jump; only due times of occurrences use it. */
+    time_ms wall_ms = 0;
+};
+
+/** Something that may happen only once the state that it follows from is stored. */
+struct deferred_start {
+    task_id task;
+    std::uint32_t run = 0;
+};
+struct deferred_observation {
+    worker_life where;
+    std::uint64_t sequence = 0;
+};
+struct deferred_cancel_answer {
+    std::uint64_t request = 0;
+};
+struct deferred_visibility {
+    std::string job;
+    job_state state = job_state::queued;
+};
+using deferred_action = std::variant<deferred_start, deferred_observation, deferred_cancel_answer,
+                                     deferred_visibility>;
+
+/**
+ * Everything that the leader knows: jobs, workers and what is being stored.
+ *
+ * Writes go ahead of actions: a start is sent, an end confirmed and a cancellation answered only
+ * after the progress that says so is stored. Changes collect in `dirty` while one batch is open.
+ */
+struct coordinator_state {
+    settings limits;
+    std::map<std::string, std::unique_ptr<job>> jobs;
+    std::map<std::string, worker> workers;
+    guarantees accounts;
+
+    std::set<std::string> dirty;
+    std::vector<deferred_action> waiting_for_store;
+    std::vector<deferred_action> in_store;
+    bool store_open = false;
+    time_ms store_opened_at_ms = 0;
+    /** Something changed that may let a task be placed. */
+    bool plan_needed = false;
+    time_ms planned_at_ms = 0;
+};
+
+/** Progress of one job as an earlier leader stored it. */
+struct stored_job {
+    job_spec spec;
+    /** Empty if nothing was stored after the acceptance. */
+    std::string progress;
+};
+
+/**
+ * Rebuilds the state of a new leader. Every assignment is unsettled until its worker answers under
+ * the new fencing token or its lease has run out. Thread safe.
+ */
+[[nodiscard]] coordinator_state recover(const settings& limits, std::vector<stored_job> jobs,
+                                        instant now);
+
+/** Applies one event and appends what follows from it. Not thread safe for one state. */
+void reduce(coordinator_state& state, instant now, const event& e, effects& out);
+
+/** Returns the number of jobs of a queue that no task was started of. Thread safe. */
+[[nodiscard]] std::size_t pending_jobs(const coordinator_state& state, const std::string& queue);
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/include/scheduler/effect.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "scheduler/worker.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fulmarworks::scheduler {
+
+/** Newest progress of one job; an empty value deletes it. */
+struct progress_record {
+    std::string job;
+    std::string value;
+};
+
+/** Stores records all or nothing; answered by `records_stored`. One is open at a time. */
+struct store_records {
+    std::vector<progress_record> records;
+};
+
+struct send_start {
+    worker_life where;
+    std::string address;
+    task_id task;
+    std::uint32_t run = 0;
+    std::string payload;
+    std::string checkpoint;
+    time_ms deadline_at_worker_ms = 0;
+};
+
+struct send_stop {
+    worker_life where;
+    std::string address;
+    task_id task;
+    std::uint32_t run = 0;
+};
+
+/** Renews a worker's lease and asks what runs there. */
+struct send_poll {
+    worker_life where;
+    std::string address;
+    /** New end of the lease on the worker's clock; 0 leaves it as it is. */
+    time_ms lease_ends_at_worker_ms = 0;
+    /** Ends up to this number are stored and may be forgotten. */
+    std::uint64_t stored_sequence = 0;
+    /** Time that the worker may wait for a new end before it answers. */
+    time_ms wait_ms = 0;
+};
+
+struct answer_cancel {
+    std::uint64_t request = 0;
+    bool known = false;
+};
+
+/** A worker answered that a newer leader exists. */
+struct leadership_lost {};
+
+/** One decision, for the log: its name and its fields as key=value text. */
+struct decision {
+    std::string name;
+    std::string fields;
+};
+
+using effect = std::variant<store_records, send_start, send_stop, send_poll, answer_cancel,
+                            leadership_lost, decision>;
+using effects = std::vector<effect>;
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/include/scheduler/job_spec.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/time.h"
+#include "scheduler/resources.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmarworks::scheduler {
+
+/** One step of a job: equal tasks that become ready together. */
+struct step_spec {
+    std::uint32_t task_count = 1;
+    resources per_task;
+    /** The caller's estimate of a task's run time; often far off. */
+    time_ms estimate_ms = 0;
+    /** Indices of earlier steps that must be complete first. */
+    std::vector<std::uint32_t> depends_on;
+    /** Label that a worker must have; empty for any worker. */
+    std::string required_label;
+    /** Rack on which the input lies; empty for none. Other racks run slower by `remote_factor`. */
+    std::string data_rack;
+    /** Most tasks of the step on one worker; 0 for no limit. */
+    std::uint32_t max_tasks_per_worker = 0;
+    /** All tasks run together or not at all. */
+    bool gang = false;
+    /** Runs slower by `remote_factor` when spread over several racks. */
+    bool same_rack = false;
+    bool checkpoints = false;
+    /** Runs until the job is cancelled; every end is followed by a restart. */
+    bool long_running = false;
+    /** Uses only processor time that others leave idle, so its cores are not booked. */
+    bool fills_idle_cpu = false;
+    /** Most tasks of a long-running step that may be stopped by the scheduler at one time. */
+    std::uint32_t max_unavailable = 0;
+};
+
+/** A submission as it was accepted. It never changes. */
+struct job_spec {
+    std::string id;
+    std::string account;
+    std::string queue;
+    /** Pool of workers on which the job runs. */
+    std::string pool;
+    /** Opaque text handed to the workers. */
+    std::string payload;
+    /** 0 is urgent; higher numbers yield. */
+    int priority = 0;
+    /** Failed runs after which a task, or a gang, is given up. */
+    std::uint32_t max_attempts = 1;
+    /** The objective is this many times the longest chain of work ... */
+    double slack_factor = 1;
+    /** ... and this much more. */
+    time_ms latency_objective_ms = 0;
+    time_ms accepted_wall_ms = 0;
+    std::vector<step_spec> steps;
+    /** Number of timed occurrences; 0 for a job that runs once, at once. */
+    std::uint32_t repeat_count = 0;
+    time_ms first_start_wall_ms = 0;
+    time_ms repeat_interval_ms = 0;
+};
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/include/scheduler/resources.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+
+namespace fulmarworks::scheduler {
+
+/** What a task needs or a worker has. */
+struct resources {
+    /** Thousandths of a core. */
+    std::int64_t cpu_millis = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+
+    resources& operator+=(const resources& other) {
+        cpu_millis += other.cpu_millis;
+        memory_mb += other.memory_mb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    resources& operator-=(const resources& other) {
+        cpu_millis -= other.cpu_millis;
+        memory_mb -= other.memory_mb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+
+    friend bool operator==(const resources&, const resources&) = default;
+};
+
+/** Returns whether `need` fits into `room` in every dimension. Thread safe. */
+[[nodiscard]] constexpr bool fits(const resources& need, const resources& room) {
+    return need.cpu_millis <= room.cpu_millis && need.memory_mb <= room.memory_mb &&
+           need.accelerators <= room.accelerators;
+}
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/include/scheduler/settings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace fulmarworks::scheduler {
+
+/** Limits of the deployment that decisions depend on. All come from the process settings. */
+struct settings {
+    /** Longest lease that a worker grants. */
+    time_ms max_lease_ms = 6000;
+    /** Time that a worker takes at most to stop a run. */
+    time_ms stop_timeout_ms = 400;
+    /** Time that the members of a gang wait for one another. */
+    time_ms gang_timeout_ms = 3000;
+    /** Time within which guaranteed urgent work must have begun. */
+    time_ms reclaim_ms = 2700;
+    /** Slow-down of a task away from its data or its gang's rack. */
+    double remote_factor = 3;
+    /** Time for which the state of an ended job can be asked for. */
+    time_ms status_retention_ms = 120000;
+    /** Time that an earlier leader may have gone on renewing leases after it lost leadership. */
+    time_ms predecessor_grace_ms = 6000;
+};
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/codec.cpp
@@ -0,0 +1,230 @@
+#include "scheduler/codec.h"
+
+#include "base/json.h"
+
+namespace fulmarworks::scheduler {
+
+namespace {
+
+/** First element of every record; a record of another layout is refused. */
+constexpr int layout_version = 1;
+
+std::string pack(const json& j) {
+    std::string bytes;
+    json::to_msgpack(j, nlohmann::detail::output_adapter<char, std::string>(bytes));
+    return bytes;
+}
+
+result<json> unpack(std::string_view data) {
+    json j = json::from_msgpack(data.begin(), data.end(), true, false);
+    if (!j.is_array() || j.empty() || j[0] != layout_version) {
+        return error{error_kind::malformed_data, "record of an unknown layout",
+                     "let every instance run a release that knows this layout"};
+    }
+    return j;
+}
+
+json encode_step(const step_spec& s) {
+    return json::array({s.task_count, s.per_task.cpu_millis, s.per_task.memory_mb,
+                        s.per_task.accelerators, s.estimate_ms, s.depends_on, s.required_label,
+                        s.data_rack, s.max_tasks_per_worker, s.gang, s.same_rack, s.checkpoints,
+                        s.long_running, s.fills_idle_cpu, s.max_unavailable});
+}
+
+step_spec decode_step(const json& j) {
+    step_spec s;
+    std::size_t i = 0;
+    const auto next = [&](auto& value) { j.at(i++).get_to(value); };
+    next(s.task_count);
+    next(s.per_task.cpu_millis);
+    next(s.per_task.memory_mb);
+    next(s.per_task.accelerators);
+    next(s.estimate_ms);
+    next(s.depends_on);
+    next(s.required_label);
+    next(s.data_rack);
+    next(s.max_tasks_per_worker);
+    next(s.gang);
+    next(s.same_rack);
+    next(s.checkpoints);
+    next(s.long_running);
+    next(s.fills_idle_cpu);
+    next(s.max_unavailable);
+    return s;
+}
+
+/** Assigned phases are one to a successor: it has to ask the worker in any case. */
+enum class stored_phase { idle, assigned, complete };
+
+stored_phase stored_phase_of(const task& t) {
+    switch (t.phase) {
+    case task_phase::idle: return stored_phase::idle;
+    case task_phase::complete: return stored_phase::complete;
+    default: return stored_phase::assigned;
+    }
+}
+
+json encode_task(const task& t) {
+    if (t.run == 0 && t.phase == task_phase::idle) {
+        return 0;
+    }
+    const stored_phase phase = stored_phase_of(t);
+    if (phase == stored_phase::complete) {
+        return 1;
+    }
+    json j = json::array({static_cast<int>(phase), t.run, t.failures, t.checkpoint, t.failed_on});
+    if (phase == stored_phase::assigned) {
+        j.push_back(t.where.id);
+        j.push_back(t.where.born_ms);
+    }
+    return j;
+}
+
+task decode_task(const json& j) {
+    task t;
+    if (j.is_number()) {
+        t.phase = j == 1 ? task_phase::complete : task_phase::idle;
+        return t;
+    }
+    const auto phase = static_cast<stored_phase>(j.at(0).get<int>());
+    j.at(1).get_to(t.run);
+    j.at(2).get_to(t.failures);
+    j.at(3).get_to(t.checkpoint);
+    j.at(4).get_to(t.failed_on);
+    if (phase == stored_phase::assigned) {
+        t.phase = task_phase::unsettled;
+        j.at(5).get_to(t.where.id);
+        j.at(6).get_to(t.where.born_ms);
+    }
+    return t;
+}
+
+json encode_occurrence(const occurrence& o) {
+    json steps = json::array();
+    for (const auto& s : o.steps) {
+        if (s.complete()) {
+            steps.push_back(1);
+            continue;
+        }
+        json tasks = json::array();
+        for (const auto& t : s.tasks) {
+            tasks.push_back(encode_task(t));
+        }
+        steps.push_back(json::array({s.gang_failures, std::move(tasks)}));
+    }
+    return steps;
+}
+
+void decode_occurrence(const json& j, occurrence& o) {
+    for (std::size_t i = 0; i < o.steps.size(); ++i) {
+        step_progress& s = o.steps[i];
+        const json& stored = j.at(i);
+        if (!stored.is_number()) {
+            stored.at(0).get_to(s.gang_failures);
+        }
+        for (std::size_t k = 0; k < s.tasks.size(); ++k) {
+            if (stored.is_number()) {
+                s.tasks[k].phase = task_phase::complete;
+            } else {
+                s.tasks[k] = decode_task(stored.at(1).at(k));
+            }
+            s.complete_count += s.tasks[k].phase == task_phase::complete ? 1 : 0;
+        }
+    }
+}
+
+template <class Decode>
+result<void> decode_guarded(const Decode& decode) {
+    try {
+        decode();
+    } catch (const json::exception& e) {
+        return error{error_kind::malformed_data, std::string("damaged record: ") + e.what(),
+                     "compare the releases of the instances that wrote and read it"};
+    }
+    return boost::outcome_v2::success();
+}
+
+} // namespace
+
+std::string encode_job_spec(const job_spec& spec) {
+    json steps = json::array();
+    for (const auto& s : spec.steps) {
+        steps.push_back(encode_step(s));
+    }
+    return pack(json::array({layout_version, spec.account, spec.queue, spec.pool, spec.payload,
+                             spec.priority, spec.max_attempts, spec.slack_factor,
+                             spec.latency_objective_ms, spec.accepted_wall_ms, std::move(steps),
+                             spec.repeat_count, spec.first_start_wall_ms,
+                             spec.repeat_interval_ms}));
+}
+
+result<job_spec> decode_job_spec(std::string_view data) {
+    const auto unpacked = unpack(data);
+    if (!unpacked) {
+        return unpacked.error();
+    }
+    const json& j = unpacked.value();
+    job_spec spec;
+    const auto decoded = decode_guarded([&] {
+        std::size_t i = 1;
+        const auto next = [&](auto& value) { j.at(i++).get_to(value); };
+        next(spec.account);
+        next(spec.queue);
+        next(spec.pool);
+        next(spec.payload);
+        next(spec.priority);
+        next(spec.max_attempts);
+        next(spec.slack_factor);
+        next(spec.latency_objective_ms);
+        next(spec.accepted_wall_ms);
+        for (const json& step : j.at(i++)) {
+            spec.steps.push_back(decode_step(step));
+        }
+        next(spec.repeat_count);
+        next(spec.first_start_wall_ms);
+        next(spec.repeat_interval_ms);
+    });
+    if (!decoded) {
+        return decoded.error();
+    }
+    return spec;
+}
+
+std::string encode_progress(const job& j) {
+    json occurrences = json::array();
+    for (const auto& o : j.occurrences) {
+        occurrences.push_back(o.complete() ? json(1) : encode_occurrence(o));
+    }
+    return pack(json::array(
+        {layout_version, j.cancel_requested, j.failed, j.started, std::move(occurrences)}));
+}
+
+result<void> decode_progress(std::string_view data, job& j) {
+    const auto unpacked = unpack(data);
+    if (!unpacked) {
+        return unpacked.error();
+    }
+    const json& stored = unpacked.value();
+    return decode_guarded([&] {
+        stored.at(1).get_to(j.cancel_requested);
+        stored.at(2).get_to(j.failed);
+        stored.at(3).get_to(j.started);
+        for (const json& o : stored.at(4)) {
+            occurrence restored =
+                make_occurrence(j.spec, static_cast<std::uint32_t>(j.occurrences.size()));
+            if (o.is_number()) {
+                for (auto& s : restored.steps) {
+                    s.complete_count = static_cast<std::uint32_t>(s.tasks.size());
+                    for (auto& t : s.tasks) {
+                        t.phase = task_phase::complete;
+                    }
+                }
+            } else {
+                decode_occurrence(o, restored);
+            }
+            j.occurrences.push_back(std::move(restored));
+        }
+    });
+}
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/job.cpp
@@ -0,0 +1,63 @@
+#include "scheduler/job.h"
+
+#include <algorithm>
+
+namespace fulmarworks::scheduler {
+
+bool occurrence::complete() const {
+    return std::all_of(steps.begin(), steps.end(), [](const auto& s) { return s.complete(); });
+}
+
+occurrence make_occurrence(const job_spec& spec, std::uint32_t number) {
+    occurrence o;
+    o.number = number;
+    o.steps.resize(spec.steps.size());
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        o.steps[i].tasks.resize(spec.steps[i].task_count);
+    }
+    return o;
+}
+
+bool dependencies_complete(const job_spec& spec, const occurrence& o, std::uint32_t step) {
+    const auto& earlier = spec.steps[step].depends_on;
+    return std::all_of(earlier.begin(), earlier.end(), [&](std::uint32_t i) {
+        return i < o.steps.size() && o.steps[i].complete();
+    });
+}
+
+time_ms longest_chain_ms(const job_spec& spec) {
+    std::vector<time_ms> ends(spec.steps.size(), 0);
+    time_ms longest = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        time_ms begin = 0;
+        for (const std::uint32_t earlier : spec.steps[i].depends_on) {
+            begin = earlier < i ? std::max(begin, ends[earlier]) : begin;
+        }
+        ends[i] = begin + spec.steps[i].estimate_ms;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+job_state derive_state(const job& j) {
+    if (j.cancel_requested) {
+        return job_state::cancelled;
+    }
+    if (j.failed) {
+        return job_state::failed;
+    }
+    const std::size_t expected = std::max<std::size_t>(j.spec.repeat_count, 1);
+    const bool all = j.occurrences.size() == expected &&
+                     std::all_of(j.occurrences.begin(), j.occurrences.end(),
+                                 [](const auto& o) { return o.complete(); });
+    if (all) {
+        return job_state::completed;
+    }
+    return j.started ? job_state::running : job_state::queued;
+}
+
+time_ms due_wall_ms(const job_spec& spec, std::uint32_t number) {
+    return spec.first_start_wall_ms + static_cast<time_ms>(number) * spec.repeat_interval_ms;
+}
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/lifecycle.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "lookup.h"
+
+namespace fulmarworks::scheduler {
+
+/** One reduction in progress. */
+struct reduction {
+    coordinator_state& state;
+    instant now;
+    effects& out;
+};
+
+/** Logs a decision called `name`; `fields` is key=value text. */
+void note(reduction& r, std::string name, std::string fields);
+
+/** Returns "task=ID.K.STEP.INDEX run=N" for log lines. */
+[[nodiscard]] std::string describe_task(const task_id& id, std::uint32_t run);
+
+/** Marks the progress of a job as changed, so that it is stored with the next batch. */
+void touch(reduction& r, const job& j);
+
+/** Books a task on a worker; the start follows once that is stored. */
+void assign_task(reduction& r, const task_id& id, const worker_life& where, std::uint32_t run);
+
+/** Sends a start, or sends it again; a repeated order of the same run has no further effect. */
+void order_start(reduction& r, const task_id& id, task_place place);
+
+/** Stops a run that holds room; it counts until its worker lists it as ended. */
+void stop_task(reduction& r, const task_id& id, task_place place, std::string_view reason);
+
+/** Frees the room of a run that is known not to be alive; the task waits for its next run. */
+void release_task(reduction& r, const task_id& id, task_place place, std::string_view reason);
+
+/** Applies the end of a task's current run. */
+void apply_end(reduction& r, const task_place& place, const ended_run& end);
+
+/** Ends a job for good and stops whatever of it still runs. */
+void end_job(reduction& r, job& j);
+
+/** Creates the occurrences that are due. */
+void open_due_occurrences(reduction& r, job& j);
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/lookup.cpp
@@ -0,0 +1,30 @@
+#include "lookup.h"
+
+namespace fulmarworks::scheduler {
+
+task_place find_task(coordinator_state& state, const task_id& id) {
+    const auto found = state.jobs.find(id.job);
+    if (found == state.jobs.end()) {
+        return {};
+    }
+    job& j = *found->second;
+    if (id.occurrence >= j.occurrences.size() || id.step >= j.spec.steps.size()) {
+        return {};
+    }
+    occurrence& o = j.occurrences[id.occurrence];
+    step_progress& progress = o.steps[id.step];
+    if (id.index >= progress.tasks.size()) {
+        return {};
+    }
+    return {&j, &o, &progress, &j.spec.steps[id.step], &progress.tasks[id.index]};
+}
+
+resources booked(const step_spec& spec) {
+    resources need = spec.per_task;
+    if (spec.fills_idle_cpu) {
+        need.cpu_millis = 0;
+    }
+    return need;
+}
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/lookup.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "scheduler/coordinator.h"
+
+namespace fulmarworks::scheduler {
+
+/** A task together with what it belongs to; empty where the job or the task doesn't exist. */
+struct task_place {
+    job* owner = nullptr;
+    occurrence* in = nullptr;
+    step_progress* progress = nullptr;
+    const step_spec* spec = nullptr;
+    task* item = nullptr;
+
+    explicit operator bool() const { return item != nullptr; }
+};
+
+[[nodiscard]] task_place find_task(coordinator_state& state, const task_id& id);
+
+/** Calls `visit(task_id, task_place)` for every task of the job. */
+template <class Visit>
+void for_each_task(job& j, const Visit& visit) {
+    for (auto& o : j.occurrences) {
+        for (std::uint32_t s = 0; s < o.steps.size(); ++s) {
+            for (std::uint32_t i = 0; i < o.steps[s].tasks.size(); ++i) {
+                visit(task_id{j.spec.id, o.number, s, i},
+                      task_place{&j, &o, &o.steps[s], &j.spec.steps[s], &o.steps[s].tasks[i]});
+            }
+        }
+    }
+}
+
+/** Returns whether the task holds room on a worker. */
+[[nodiscard]] constexpr bool is_assigned(task_phase phase) {
+    return phase != task_phase::idle && phase != task_phase::complete;
+}
+
+/** Returns what a task of the step takes of a worker's capacity. */
+[[nodiscard]] resources booked(const step_spec& spec);
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/planner.cpp
@@ -0,0 +1,194 @@
+#include "planner.h"
+
+#include "lookup.h"
+#include "preemption.h"
+#include "rooms.h"
+#include "work_units.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace fulmarworks::scheduler {
+
+namespace {
+
+/** An urgent unit gives up its preferred rack after this share of the reclaim bound. */
+constexpr double urgent_rack_patience = 0.4;
+/** Other units wait this many times their run time before they run remotely at `remote_factor`. */
+constexpr double rack_patience_runs = 1.5;
+
+struct planning {
+    coordinator_state& state;
+    time_ms now_ms = 0;
+    std::vector<worker_room> rooms;
+    std::vector<std::string> racks;
+    plan result;
+};
+
+std::vector<std::string> collect_racks(const std::vector<worker_room>& rooms) {
+    std::set<std::string> names;
+    for (const auto& room : rooms) {
+        names.insert(room.host->report.rack);
+    }
+    return {names.begin(), names.end()};
+}
+
+placement_request make_request(const work_unit& unit) {
+    placement_request request{unit.owner, &unit.spec(), {}, {}, ""};
+    for (const auto& t : unit.in->steps[unit.step].tasks) {
+        if (is_assigned(t.phase)) {
+            ++request.already_there[t.where.id];
+        }
+        if (!t.failed_on.empty()) {
+            request.avoid.insert(t.failed_on);
+        }
+    }
+    return request;
+}
+
+/** Returns whether the unit should still wait for the rack where it runs fastest. */
+bool insists_on_rack(const planning& p, const work_unit& unit) {
+    const time_ms waited = p.now_ms - unit.ready_at_ms;
+    const auto patience =
+        unit.owner->spec.priority == 0
+            ? urgent_rack_patience * static_cast<double>(p.state.limits.reclaim_ms)
+            : rack_patience_runs * static_cast<double>(unit.spec().estimate_ms);
+    return static_cast<double>(waited) < patience;
+}
+
+void accept(planning& p, const work_unit& unit, std::span<const std::size_t> chosen) {
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+        p.result.placements.push_back(
+            {{unit.owner->spec.id, unit.in->number, unit.step, unit.tasks[i]},
+             p.rooms[chosen[i]].host->report.life});
+    }
+}
+
+bool wants_one_rack(const step_spec& spec) {
+    return spec.gang && spec.same_rack && spec.task_count > 1;
+}
+
+/** Racks to try, in order; an empty name stands for all racks together. */
+std::vector<std::string> racks_to_try(const planning& p, const work_unit& unit) {
+    std::vector<std::string> racks;
+    if (!unit.spec().data_rack.empty()) {
+        racks.push_back(unit.spec().data_rack);
+    } else if (wants_one_rack(unit.spec())) {
+        racks = p.racks;
+    }
+    if (racks.empty() || !insists_on_rack(p, unit)) {
+        racks.emplace_back();
+    }
+    return racks;
+}
+
+/** Accelerators that stay free on the used workers; less is better. */
+std::int64_t leftover(const planning& p, std::span<const std::size_t> chosen) {
+    std::int64_t total = 0;
+    for (const std::size_t i : chosen) {
+        total += p.rooms[i].free.accelerators;
+    }
+    return total;
+}
+
+/** Places a whole gang into the rack that it fills best. */
+std::optional<std::vector<std::size_t>> place_gang(planning& p, const work_unit& unit,
+                                                   placement_request& request, room_kind kind) {
+    std::optional<std::string> best_rack;
+    std::int64_t best_left = 0;
+    for (const auto& rack : racks_to_try(p, unit)) {
+        if (rack.empty() && best_rack) {
+            break;
+        }
+        request.rack = rack;
+        const auto chosen = best_fit(p.rooms, request, unit.tasks.size(), kind);
+        const std::int64_t left = leftover(p, chosen);
+        unbook(p.rooms, request, chosen);
+        if (chosen.size() == unit.tasks.size() && (!best_rack || left < best_left)) {
+            best_rack = rack;
+            best_left = left;
+        }
+    }
+    if (!best_rack) {
+        return std::nullopt;
+    }
+    request.rack = *best_rack;
+    return best_fit(p.rooms, request, unit.tasks.size(), kind);
+}
+
+/** Makes room for an urgent unit, in the first rack where that is possible at the least cost. */
+void preempt(planning& p, const work_unit& unit, placement_request& request) {
+    std::optional<preemption_choice> best;
+    std::vector<worker_room> best_rooms;
+    for (const auto& rack : racks_to_try(p, unit)) {
+        if (rack.empty() && best) {
+            break;
+        }
+        request.rack = rack;
+        auto rooms = p.rooms;
+        auto choice = choose_victims(p.state, rooms, unit, request, p.now_ms);
+        if (!choice.victims.empty() && (!best || choice.cost < best->cost)) {
+            best = std::move(choice);
+            best_rooms = std::move(rooms);
+        }
+    }
+    if (!best) {
+        return;
+    }
+    p.rooms = std::move(best_rooms);
+    for (const auto& id : best->victims) {
+        p.result.preemptions.push_back({id, unit.owner->spec.id});
+    }
+}
+
+void plan_gang(planning& p, const work_unit& unit) {
+    placement_request request = make_request(unit);
+    if (const auto chosen = place_gang(p, unit, request, room_kind::free)) {
+        accept(p, unit, *chosen);
+        return;
+    }
+    if (unit.owner->spec.priority != 0) {
+        return;
+    }
+    // Room that is about to become free is kept for the unit by booking it here.
+    if (!place_gang(p, unit, request, room_kind::soon)) {
+        preempt(p, unit, request);
+    }
+}
+
+void plan_tasks(planning& p, work_unit unit) {
+    placement_request request = make_request(unit);
+    for (const auto& rack : racks_to_try(p, unit)) {
+        request.rack = rack;
+        const auto chosen = best_fit(p.rooms, request, unit.tasks.size(), room_kind::free);
+        accept(p, unit, chosen);
+        unit.tasks.erase(unit.tasks.begin(),
+                         unit.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
+    }
+    if (unit.owner->spec.priority != 0 || unit.tasks.empty()) {
+        return;
+    }
+    const auto soon = best_fit(p.rooms, request, unit.tasks.size(), room_kind::soon);
+    if (soon.size() < unit.tasks.size()) {
+        unit.tasks.erase(unit.tasks.begin(),
+                         unit.tasks.begin() + static_cast<std::ptrdiff_t>(soon.size()));
+        preempt(p, unit, request);
+    }
+}
+
+} // namespace
+
+plan make_plan(coordinator_state& state, time_ms now_ms) {
+    planning p{state, now_ms, measure_rooms(state, now_ms), {}, {}};
+    p.racks = collect_racks(p.rooms);
+    for (const auto& unit : collect_units(state, now_ms)) {
+        if (unit.spec().gang) {
+            plan_gang(p, unit);
+        } else {
+            plan_tasks(p, unit);
+        }
+    }
+    return std::move(p.result);
+}
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/planner.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "scheduler/coordinator.h"
+
+namespace fulmarworks::scheduler {
+
+/** Tasks to place and runs to stop, decided at one moment. */
+struct plan {
+    struct assignment {
+        task_id task;
+        worker_life where;
+    };
+    /** All tasks of one gang are in here, or none. */
+    std::vector<assignment> placements;
+    /** Runs that give way, each with the job that needs its room. */
+    struct preemption {
+        task_id victim;
+        std::string in_favour_of;
+    };
+    std::vector<preemption> preemptions;
+};
+
+/** Decides what to start and what to stop; changes only readiness times. */
+[[nodiscard]] plan make_plan(coordinator_state& state, time_ms now_ms);
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/work_units.cpp
@@ -0,0 +1,118 @@
+#include "work_units.h"
+
+#include "lookup.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace fulmarworks::scheduler {
+
+namespace {
+
+/** Beyond this many times the objective a job is of no more use to its caller. */
+constexpr int useful_objectives = 3;
+
+time_ms objective_ms(const job_spec& spec) {
+    return static_cast<time_ms>(spec.slack_factor * static_cast<double>(longest_chain_ms(spec))) +
+           spec.latency_objective_ms;
+}
+
+/** Returns the estimated time from the start of `step` to the end of the job. */
+time_ms remaining_chain_ms(const job_spec& spec, std::uint32_t step) {
+    time_ms longest_after = 0;
+    for (std::uint32_t i = step + 1; i < spec.steps.size(); ++i) {
+        const auto& earlier = spec.steps[i].depends_on;
+        if (std::find(earlier.begin(), earlier.end(), step) != earlier.end()) {
+            longest_after = std::max(longest_after, remaining_chain_ms(spec, i));
+        }
+    }
+    return spec.steps[step].estimate_ms + longest_after;
+}
+
+urgency classify(const work_unit& unit, time_ms begun_at_ms, bool guaranteed, time_ms now_ms) {
+    const time_ms ends_at = now_ms + remaining_chain_ms(unit.owner->spec, unit.step);
+    if (guaranteed) {
+        return urgency::guaranteed;
+    }
+    if (ends_at <= unit.objective_at_ms) {
+        return urgency::in_time;
+    }
+    const time_ms useful_until =
+        begun_at_ms + useful_objectives * (unit.objective_at_ms - begun_at_ms);
+    return ends_at <= useful_until ? urgency::late : urgency::overdue;
+}
+
+/** Returns the accelerators that all active urgent jobs of each account need at once. */
+std::map<std::string, std::int64_t> urgent_demand(const coordinator_state& state) {
+    std::map<std::string, std::int64_t> demand;
+    for (const auto& [id, j] : state.jobs) {
+        if (j->ended() || j->spec.priority != 0) {
+            continue;
+        }
+        std::int64_t widest = 0;
+        for (const auto& s : j->spec.steps) {
+            widest = std::max(widest, s.per_task.accelerators * s.task_count);
+        }
+        demand[j->spec.account] += widest;
+    }
+    return demand;
+}
+
+void collect_step(work_unit unit, std::vector<work_unit>& units) {
+    const step_progress& progress = unit.in->steps[unit.step];
+    for (std::uint32_t i = 0; i < progress.tasks.size(); ++i) {
+        if (progress.tasks[i].phase == task_phase::idle) {
+            unit.tasks.push_back(i);
+        }
+    }
+    const bool whole = unit.tasks.size() == progress.tasks.size();
+    if (!unit.tasks.empty() && (whole || !unit.spec().gang)) {
+        units.push_back(std::move(unit));
+    }
+}
+
+void collect_job(job& j, bool guaranteed, time_ms now_ms, std::vector<work_unit>& units) {
+    for (auto& o : j.occurrences) {
+        for (std::uint32_t s = 0; s < o.steps.size(); ++s) {
+            step_progress& progress = o.steps[s];
+            if (progress.complete() || !dependencies_complete(j.spec, o, s)) {
+                continue;
+            }
+            if (progress.ready_at_ms == 0) {
+                progress.ready_at_ms = now_ms;
+            }
+            work_unit unit{&j, &o, s, {}, urgency::in_time, 0, progress.ready_at_ms};
+            const time_ms begun_at =
+                j.spec.repeat_count > 0 ? progress.ready_at_ms : j.accepted_at_ms;
+            unit.objective_at_ms = begun_at + objective_ms(j.spec);
+            unit.class_of_service = classify(unit, begun_at, guaranteed, now_ms);
+            collect_step(std::move(unit), units);
+        }
+    }
+}
+
+} // namespace
+
+std::vector<work_unit> collect_units(coordinator_state& state, time_ms now_ms) {
+    const auto demand = urgent_demand(state);
+    std::vector<work_unit> units;
+    for (auto& [id, j] : state.jobs) {
+        if (j->ended()) {
+            continue;
+        }
+        const auto guarantee = state.accounts.find(j->spec.account);
+        const bool guaranteed = j->spec.priority == 0 && guarantee != state.accounts.end() &&
+                                demand.at(j->spec.account) <= guarantee->second;
+        collect_job(*j, guaranteed, now_ms, units);
+    }
+    std::sort(units.begin(), units.end(), [](const work_unit& a, const work_unit& b) {
+        const auto key = [](const work_unit& u) {
+            return std::tie(u.owner->spec.priority, u.class_of_service, u.objective_at_ms,
+                            u.owner->spec.id, u.in->number, u.step);
+        };
+        return key(a) < key(b);
+    });
+    return units;
+}
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/worker_links.cpp
@@ -0,0 +1,384 @@
+#include "worker_links.h"
+
+#include <algorithm>
+
+namespace fulmarworks::scheduler {
+
+namespace {
+
+/** Time that a busy worker may wait for an end before it answers a poll. */
+constexpr time_ms busy_poll_wait_ms = 1000;
+/** A poll is due when this much is left of a wait that should have been answered. */
+constexpr time_ms idle_poll_interval_ms = 4000;
+/** Pause after a failed poll, so that an unreachable worker isn't hammered. */
+constexpr time_ms failed_poll_pause_ms = 300;
+/** Part of the longest lease that is left out, for the way of the request. */
+constexpr time_ms lease_margin_ms = 100;
+/** An order without an answer is sent again after this. */
+constexpr time_ms repeat_order_ms = 400;
+/** Starts sent before the worker's own lists decide. */
+constexpr std::uint32_t max_start_attempts = 3;
+/** A worker that refuses for want of room or health gets nothing new for this long. */
+constexpr time_ms refusal_pause_ms = 500;
+
+void release_all(reduction& r, worker& w, std::string_view reason) {
+    const auto assigned = w.assigned;
+    for (const auto& id : assigned) {
+        if (const task_place place = find_task(r.state, id)) {
+            release_task(r, id, place, reason);
+        } else {
+            w.assigned.erase(id);
+        }
+    }
+    w.strays.clear();
+}
+
+/** A new incarnation knows nothing of before: whatever ran on the old one has ended. */
+void begin_life(reduction& r, worker& w, time_ms born_ms) {
+    note(r, "worker_restarted",
+         "worker=" + w.report.life.id + " born_ms=" + std::to_string(born_ms));
+    w.report.life.born_ms = born_ms;
+    release_all(r, w, "worker_restarted");
+    w.applied_sequence = 0;
+    w.stored_sequence = 0;
+    w.lease_ends_at_worker_ms = 0;
+    w.lease_horizon_ms = 0;
+    w.blamed_by.clear();
+    w.quarantined_until_ms = 0;
+}
+
+void set_clock_reference(worker& w, time_ms clock_ms, time_ms now_ms) {
+    w.clock_reference_ms = clock_ms;
+    w.clock_reference_at_ms = now_ms;
+}
+
+bool is_current(const task_place& place, const worker& w, std::uint32_t run) {
+    return place && is_assigned(place.item->phase) && place.item->run == run &&
+           place.item->where == w.report.life;
+}
+
+/** A run that ended after its task was given up, and before the next run was placed. */
+bool is_late_success(const task_place& place, const ended_run& end) {
+    return place && place.item->phase == task_phase::idle && place.item->run == end.run &&
+           end.reason == end_reason::done && !place.owner->ended() && !place.spec->gang;
+}
+
+void apply_ends(reduction& r, worker& w, const std::vector<ended_run>& ends) {
+    for (const auto& end : ends) {
+        if (end.sequence <= w.applied_sequence) {
+            continue;
+        }
+        w.applied_sequence = end.sequence;
+        std::erase_if(w.strays,
+                      [&](const auto& s) { return s.task == end.task && s.run == end.run; });
+        const task_place place = find_task(r.state, end.task);
+        if (is_current(place, w, end.run) || is_late_success(place, end)) {
+            apply_end(r, place, end);
+        }
+        r.state.plan_needed = true;
+    }
+    if (w.applied_sequence > w.stored_sequence) {
+        r.state.waiting_for_store.emplace_back(
+            deferred_observation{w.report.life, w.applied_sequence});
+    }
+}
+
+void update_progress(task& t, const active_run& run, time_ms now_ms) {
+    if (t.percent != run.percent) {
+        t.percent = run.percent;
+        t.progressed_at_ms = now_ms;
+    }
+}
+
+void keep_running(reduction& r, const active_run& run, const task_place& place) {
+    task& t = *place.item;
+    if (t.phase == task_phase::ordered || t.phase == task_phase::unsettled) {
+        t.phase = task_phase::running;
+        t.order_attempts = 0;
+        t.progressed_at_ms = r.now.monotonic_ms;
+        t.started_at_ms = t.started_at_ms == 0 ? r.now.monotonic_ms : t.started_at_ms;
+    }
+    update_progress(t, run, r.now.monotonic_ms);
+    if (!run.checkpoint.empty()) {
+        t.checkpoint = run.checkpoint;
+    }
+    if (place.owner->ended()) {
+        stop_task(r, run.task, place, "job_ended");
+    }
+}
+
+void keep_stray(reduction& r, worker& w, const active_run& run) {
+    const auto same = [&](const auto& s) { return s.task == run.task && s.run == run.run; };
+    auto found = std::find_if(w.strays.begin(), w.strays.end(), same);
+    if (found == w.strays.end()) {
+        const task_place place = find_task(r.state, run.task);
+        const resources need = place ? booked(*place.spec) : w.report.capacity;
+        w.strays.push_back({run.task, run.run, need, 0});
+        found = std::prev(w.strays.end());
+        note(r, "stray_run",
+             describe_task(run.task, run.run) + " worker=" + w.report.life.id);
+    }
+    if (r.now.monotonic_ms - found->stop_sent_at_ms >= repeat_order_ms) {
+        found->stop_sent_at_ms = r.now.monotonic_ms;
+        r.out.emplace_back(
+            send_stop{w.report.life, w.report.address, run.task, run.run});
+    }
+}
+
+/** Releases an assignment that the worker doesn't list, once nothing can start it any more. */
+void settle_unlisted(reduction& r, const task_id& id, const task_place& place,
+                     const poll_answered& answer) {
+    task& t = *place.item;
+    const bool after_order = answer.sent_at_ms > t.ordered_at_ms;
+    switch (t.phase) {
+    case task_phase::unsettled:
+        release_task(r, id, place, "unknown_to_worker");
+        return;
+    case task_phase::running:
+        release_task(r, id, place, "vanished");
+        return;
+    case task_phase::ordered:
+        if (after_order && answer.status.clock_ms > t.start_expires_at_worker_ms) {
+            release_task(r, id, place, "start_expired");
+        }
+        return;
+    case task_phase::stopping:
+        if (t.stop_confirmed_at_ms != 0 && answer.sent_at_ms > t.stop_confirmed_at_ms) {
+            release_task(r, id, place, "never_started");
+        } else if (after_order && answer.status.clock_ms > t.start_expires_at_worker_ms) {
+            release_task(r, id, place, "start_expired");
+        }
+        return;
+    default: return;
+    }
+}
+
+void compare_lists(reduction& r, worker& w, const poll_answered& answer) {
+    std::set<task_id> listed;
+    std::erase_if(w.strays, [&](const auto& s) {
+        return std::none_of(
+            answer.status.active.begin(), answer.status.active.end(),
+            [&](const auto& run) { return run.task == s.task && run.run == s.run; });
+    });
+    for (const auto& run : answer.status.active) {
+        const task_place place = find_task(r.state, run.task);
+        if (is_current(place, w, run.run)) {
+            listed.insert(run.task);
+            keep_running(r, run, place);
+        } else {
+            keep_stray(r, w, run);
+        }
+    }
+    const auto assigned = w.assigned;
+    for (const auto& id : assigned) {
+        const task_place place = find_task(r.state, id);
+        if (place && !listed.contains(id) && is_assigned(place.item->phase)) {
+            settle_unlisted(r, id, place, answer);
+        }
+    }
+}
+
+void poll(reduction& r, worker& w) {
+    const time_ms now = r.now.monotonic_ms;
+    const bool busy = !w.assigned.empty() || !w.strays.empty();
+    // A worker that doesn't answer gets no longer lease, so that its work can move on.
+    const bool renew = busy && w.verified && w.failed_polls == 0;
+    time_ms lease_end = 0;
+    if (renew) {
+        lease_end = worker_clock(w, now) + r.state.limits.max_lease_ms - lease_margin_ms;
+        grant_lease(w, lease_end);
+    }
+    const bool may_wait = w.verified && w.failed_polls == 0 && busy;
+    w.poll_outstanding = true;
+    w.poll_sent_at_ms = now;
+    r.out.emplace_back(send_poll{w.report.life, w.report.address, lease_end, w.stored_sequence,
+                                 may_wait ? busy_poll_wait_ms : 0});
+}
+
+bool poll_due(const worker& w, time_ms now_ms) {
+    if (w.poll_outstanding || w.report.address.empty()) {
+        return false;
+    }
+    if (w.failed_polls > 0) {
+        return now_ms - w.poll_sent_at_ms >= failed_poll_pause_ms;
+    }
+    if (!w.verified) {
+        return true;
+    }
+    if (w.applied_sequence > w.stored_sequence) {
+        return false; // asks again once the effect of the ends is stored
+    }
+    const bool busy = !w.assigned.empty() || !w.strays.empty();
+    return busy || now_ms - w.answered_at_ms >= idle_poll_interval_ms;
+}
+
+void repeat_orders(reduction& r, worker& w) {
+    const time_ms now = r.now.monotonic_ms;
+    const auto assigned = w.assigned;
+    for (const auto& id : assigned) {
+        const task_place place = find_task(r.state, id);
+        if (!place || now - place.item->ordered_at_ms < repeat_order_ms) {
+            continue;
+        }
+        if (place.item->phase == task_phase::stopping) {
+            stop_task(r, id, place, "repeat");
+        } else if (place.item->phase == task_phase::ordered && w.failed_polls == 0 &&
+                   place.item->order_attempts < max_start_attempts) {
+            order_start(r, id, place);
+        }
+    }
+}
+
+/** Releases what was leased to a worker that can't be reached, once it can't be alive. */
+void expire_lease(reduction& r, worker& w) {
+    const bool reachable = w.verified && w.failed_polls == 0;
+    if (reachable || w.assigned.empty() || r.now.monotonic_ms < w.lease_horizon_ms) {
+        return;
+    }
+    note(r, "worker_lost", "worker=" + w.report.life.id + " failed_polls=" +
+                               std::to_string(w.failed_polls));
+    w.verified = false;
+    release_all(r, w, "lease_expired");
+}
+
+} // namespace
+
+void apply_report(reduction& r, const worker_report& report) {
+    worker& w = r.state.workers[report.life.id];
+    const bool was_draining = w.report.draining && w.listed;
+    const time_ms known_life = w.report.life.born_ms;
+    w.report = report;
+    w.report.life.born_ms = std::max(known_life, report.life.born_ms);
+    if (known_life != 0 && report.life.born_ms > known_life) {
+        w.report.life.born_ms = known_life;
+        begin_life(r, w, report.life.born_ms);
+        w.verified = false;
+    }
+    if (!w.listed || was_draining != report.draining) {
+        note(r, "worker_listed", "worker=" + report.life.id + " draining=" +
+                                     std::to_string(report.draining ? 1 : 0));
+        r.state.plan_needed = true;
+    }
+    w.listed = true;
+}
+
+void apply_unlisted(reduction& r, const std::string& id) {
+    const auto found = r.state.workers.find(id);
+    if (found != r.state.workers.end() && found->second.listed) {
+        found->second.listed = false;
+        note(r, "worker_unlisted", "worker=" + id);
+    }
+}
+
+void apply_poll(reduction& r, const poll_answered& answer) {
+    const auto found = r.state.workers.find(answer.worker);
+    if (found == r.state.workers.end()) {
+        return;
+    }
+    worker& w = found->second;
+    w.poll_outstanding = false;
+    const time_ms known_life = w.report.life.born_ms;
+    if (answer.status.born_ms < known_life) {
+        return; // an answer of an earlier life that arrived late
+    }
+    if (answer.status.born_ms > known_life && known_life != 0) {
+        begin_life(r, w, answer.status.born_ms);
+    }
+    w.report.life.born_ms = answer.status.born_ms;
+    if (!w.verified || w.failed_polls > 0) {
+        r.state.plan_needed = true;
+        note(r, "worker_reachable", "worker=" + answer.worker);
+    }
+    w.verified = true;
+    w.failed_polls = 0;
+    w.answered_at_ms = r.now.monotonic_ms;
+    set_clock_reference(w, answer.status.clock_ms, r.now.monotonic_ms);
+    apply_ends(r, w, answer.status.ended);
+    compare_lists(r, w, answer);
+}
+
+void apply_poll_failure(reduction& r, const poll_failed& failure) {
+    const auto found = r.state.workers.find(failure.worker);
+    if (found == r.state.workers.end()) {
+        return;
+    }
+    worker& w = found->second;
+    w.poll_outstanding = false;
+    if (failure.reason == order_failure::fenced) {
+        r.out.emplace_back(leadership_lost{});
+        return;
+    }
+    if (w.failed_polls++ == 0) {
+        note(r, "worker_unreachable", "worker=" + failure.worker);
+    }
+    if (failure.reason == order_failure::other_life) {
+        // The address serves another incarnation, so this one is gone.
+        w.verified = false;
+        release_all(r, w, "worker_replaced");
+    }
+}
+
+void apply_start_answer(reduction& r, const start_answered& answer) {
+    const task_place place = find_task(r.state, answer.task);
+    const auto found = r.state.workers.find(answer.worker);
+    if (found == r.state.workers.end() || !is_current(place, found->second, answer.run) ||
+        place.item->phase != task_phase::ordered) {
+        return;
+    }
+    task& t = *place.item;
+    if (answer.accepted) {
+        t.phase = task_phase::running;
+        t.order_attempts = 0;
+        t.progressed_at_ms = r.now.monotonic_ms;
+        return;
+    }
+    const bool sole_order = t.order_attempts <= 1;
+    switch (answer.failure) {
+    case order_failure::fenced: r.out.emplace_back(leadership_lost{}); return;
+    case order_failure::expired: release_task(r, answer.task, place, "start_expired"); return;
+    case order_failure::no_room:
+    case order_failure::rejected:
+        found->second.quarantined_until_ms =
+            std::max(found->second.quarantined_until_ms, r.now.monotonic_ms + refusal_pause_ms);
+        if (sole_order) {
+            release_task(r, answer.task, place, "refused_by_worker");
+        } else {
+            stop_task(r, answer.task, place, "refused_by_worker");
+        }
+        return;
+    case order_failure::superseded: stop_task(r, answer.task, place, "superseded"); return;
+    case order_failure::no_answer:
+    case order_failure::other_life: return; // the next poll tells
+    }
+}
+
+void apply_stop_answer(reduction& r, const stop_answered& answer) {
+    if (!answer.accepted) {
+        if (answer.failure == order_failure::fenced) {
+            r.out.emplace_back(leadership_lost{});
+        }
+        return;
+    }
+    const task_place place = find_task(r.state, answer.task);
+    const auto found = r.state.workers.find(answer.worker);
+    if (found != r.state.workers.end() && is_current(place, found->second, answer.run) &&
+        place.item->phase == task_phase::stopping && place.item->stop_confirmed_at_ms == 0) {
+        place.item->stop_confirmed_at_ms = r.now.monotonic_ms;
+    }
+}
+
+void maintain_workers(reduction& r) {
+    for (auto& [id, w] : r.state.workers) {
+        expire_lease(r, w);
+        repeat_orders(r, w);
+        if (poll_due(w, r.now.monotonic_ms)) {
+            poll(r, w);
+        }
+    }
+    std::erase_if(r.state.workers, [&](const auto& entry) {
+        const worker& w = entry.second;
+        return !w.listed && w.assigned.empty() && w.strays.empty() && !w.poll_outstanding;
+    });
+}
+
+} // namespace fulmarworks::scheduler
--- /dev/null
+++ b/libs/scheduler/src/worker_links.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "lifecycle.h"
+
+namespace fulmarworks::scheduler {
+
+/** Takes over what a worker's entry in the registry says. */
+void apply_report(reduction& r, const worker_report& report);
+
+/** Takes over that a worker has no readable entry any more. */
+void apply_unlisted(reduction& r, const std::string& id);
+
+/** Compares a worker's own lists with the assignments and settles every difference. */
+void apply_poll(reduction& r, const poll_answered& answer);
+
+void apply_poll_failure(reduction& r, const poll_failed& failure);
+
+void apply_start_answer(reduction& r, const start_answered& answer);
+
+void apply_stop_answer(reduction& r, const stop_answered& answer);
+
+/** Polls workers, repeats unanswered orders, and releases what an expired lease has ended. */
+void maintain_workers(reduction& r);
+
+} // namespace fulmarworks::scheduler
--- a/libs/service/src/api_router.h
+++ b/libs/service/src/api_router.h
@@ -2,7 +2,7 @@
 
 #include "http/http_server.h"
 #include "instance/reduce.h"
-#include "platform/worker_client.h"
+#include "adapters/worker_client.h"
 
 #include <functional>
 
--- a/libs/service/src/instance_service.cpp
+++ b/libs/service/src/instance_service.cpp
@@ -3,8 +3,8 @@
 #include "api_router.h"
 #include "base/log_line.h"
 #include "http/http_client.h"
-#include "platform/log_client.h"
-#include "platform/peer_link.h"
+#include "adapters/log_client.h"
+#include "adapters/peer_link.h"
 #include "service/metrics.h"
 
 namespace fulmarworks {
