Release a run only by polls sent after its confirmation

Cause: a poll answered just before a start was carried out arrived after the start's confirmation; the run was taken for vanished and started a second time (TWICE, LIMIT). Change: lists count against a run only if the poll was sent after the run was confirmed.

--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -42,13 +42,15 @@
     std::string checkpoint;
     /** Worker on which the newest run failed; empty for none. */
     std::string failed_on;
-    /** The last failure was a stall or an error that may be the worker's. */
+    /** Progress of the run as its worker reported it. */
     int percent = 0;
     /** Monotonic time of the newest change of `percent`. */
     time_ms progressed_at_ms = 0;
     time_ms started_at_ms = 0;
     /** Newest order of the current phase, monotonic. */
     time_ms ordered_at_ms = 0;
+    /** Monotonic time at which the worker confirmed the run; older lists don't speak of it. */
+    time_ms confirmed_at_ms = 0;
     /** Time on the worker's clock after which no start of this run can take effect any more. */
     time_ms start_expires_at_worker_ms = 0;
     /** A stop of this run was confirmed by the worker at this monotonic time; 0 if not. */
--- a/libs/scheduler/src/worker_links.cpp
+++ b/libs/scheduler/src/worker_links.cpp
@@ -83,6 +83,13 @@
     }
 }
 
+void confirm_run(task& t, time_ms now_ms) {
+    t.phase = task_phase::running;
+    t.order_attempts = 0;
+    t.confirmed_at_ms = now_ms;
+    t.progressed_at_ms = now_ms;
+}
+
 void update_progress(task& t, const active_run& run, time_ms now_ms) {
     if (t.percent != run.percent) {
         t.percent = run.percent;
@@ -93,9 +100,7 @@
 void keep_running(reduction& r, const active_run& run, const task_place& place) {
     task& t = *place.item;
     if (t.phase == task_phase::ordered || t.phase == task_phase::unsettled) {
-        t.phase = task_phase::running;
-        t.order_attempts = 0;
-        t.progressed_at_ms = r.now.monotonic_ms;
+        confirm_run(t, r.now.monotonic_ms);
         t.started_at_ms = t.started_at_ms == 0 ? r.now.monotonic_ms : t.started_at_ms;
     }
     update_progress(t, run, r.now.monotonic_ms);
@@ -135,7 +140,9 @@
         release_task(r, id, place, "unknown_to_worker");
         return;
     case task_phase::running:
-        release_task(r, id, place, "vanished");
+        if (answer.sent_at_ms > t.confirmed_at_ms) {
+            release_task(r, id, place, "vanished");
+        }
         return;
     case task_phase::ordered:
         if (after_order && answer.status.clock_ms > t.start_expires_at_worker_ms) {
@@ -327,9 +334,7 @@
     }
     task& t = *place.item;
     if (answer.accepted) {
-        t.phase = task_phase::running;
-        t.order_attempts = 0;
-        t.progressed_at_ms = r.now.monotonic_ms;
+        confirm_run(t, r.now.monotonic_ms);
         return;
     }
     const bool sole_order = t.order_attempts <= 1;
--- /dev/null
+++ b/libs/scheduler/tests/coordinator_fixture.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "scheduler/codec.h"
+#include "scheduler/coordinator.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fulmarworks::scheduler {
+
+/** Drives a coordinator by hand: a clock, a store that confirms on demand, workers as answers. */
+class coordinator_fixture {
+public:
+    coordinator_state state;
+    effects out;
+    instant now{1000, 1700000000000};
+    /** Confirms every batch at once; tests of ordering switch it off. */
+    bool auto_store = true;
+
+    void send(const event& e) {
+        reduce(state, now, e, out);
+        while (auto_store && take<store_records>()) {
+            reduce(state, now, records_stored{}, out);
+        }
+    }
+
+    void advance(time_ms by_ms) {
+        now.monotonic_ms += by_ms;
+        now.wall_ms += by_ms;
+        send(tick{});
+    }
+
+    /** Takes the first effect of a kind out of the list. */
+    template <class Effect>
+    std::optional<Effect> take() {
+        for (auto it = out.begin(); it != out.end(); ++it) {
+            if (auto* found = std::get_if<Effect>(&*it)) {
+                std::optional<Effect> taken(std::move(*found));
+                out.erase(it);
+                return taken;
+            }
+        }
+        return std::nullopt;
+    }
+
+    template <class Effect>
+    std::vector<Effect> take_all() {
+        std::vector<Effect> all;
+        while (auto one = take<Effect>()) {
+            all.push_back(std::move(*one));
+        }
+        return all;
+    }
+
+    static worker_report make_report(const std::string& id, const std::string& rack = "r1") {
+        worker_report report;
+        report.life = {id, 1};
+        report.address = "10.0.0.1:1";
+        report.pool = "pool";
+        report.rack = rack;
+        report.labels = {"a", rack};
+        report.capacity = {128000, 262144, 8};
+        return report;
+    }
+
+    /** Adds a worker that has answered its first poll. */
+    void add_worker(const std::string& id, const std::string& rack = "r1") {
+        send(worker_reported{make_report(id, rack)});
+        send(tick{});
+        answer_poll(id);
+    }
+
+    /** Answers the open poll of a worker, as if it had been sent at `sent_at_ms`. */
+    void answer_poll(const std::string& id, std::vector<active_run> active = {},
+                     std::vector<ended_run> ended = {}, time_ms sent_at_ms = -1,
+                     time_ms born_ms = 1) {
+        worker_status status;
+        status.born_ms = born_ms;
+        status.clock_ms = now.monotonic_ms;
+        status.active = std::move(active);
+        status.ended = std::move(ended);
+        send(poll_answered{id, sent_at_ms < 0 ? now.monotonic_ms : sent_at_ms, status});
+    }
+
+    void accept(const send_start& order) {
+        send(start_answered{order.where.id, order.task, order.run, true, {}});
+    }
+
+    static job_spec make_job(const std::string& id, std::uint32_t tasks, resources need,
+                             int priority = 1) {
+        job_spec spec;
+        spec.id = id;
+        spec.account = "account";
+        spec.queue = "queue";
+        spec.pool = "pool";
+        spec.priority = priority;
+        spec.max_attempts = 2;
+        spec.slack_factor = 3;
+        spec.latency_objective_ms = 1000;
+        step_spec step;
+        step.task_count = tasks;
+        step.per_task = need;
+        step.estimate_ms = 5000;
+        spec.steps.push_back(step);
+        return spec;
+    }
+
+    task& first_task(const std::string& job) {
+        return state.jobs.at(job)->occurrences.at(0).steps.at(0).tasks.at(0);
+    }
+};
+
+} // namespace fulmarworks::scheduler
