Hosts that the store turns away go on through their peers

Cause: with a third of the hosts refused by the store for 9 s, their callers got 503 all that time, and during an outage submissions without an answer ended as 504 after 1.6 s, which callers may not repeat. Ruled out: balancer (open connections stay with their host). Change: hosts register their address in the store; one that the store turns away has peers append its submissions and takes their view of the configuration and the leader's lease, with its age. A submission that nobody could store is refused after 0.5 s with when to come back; one that is undecided is tried as long as its caller waits.

--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -14,8 +14,10 @@
 constexpr time_ms default_patience_ms = 3000;
 /** Part of a caller's patience that is left for the way of the answer. */
 constexpr time_ms answer_margin_ms = 300;
-/** Longest time for which a request is tried here before another host should be. */
+/** Longest time for which a question is tried here before another host should be. */
 constexpr time_ms longest_try_ms = 1600;
+/** Time for which a submission that nobody can store is tried; covers a single lost connection. */
+constexpr time_ms refused_try_ms = 500;
 constexpr time_ms append_timeout_ms = 700;
 constexpr time_ms forward_timeout_ms = 700;
 constexpr time_ms retry_pause_ms = 60;
@@ -88,6 +90,9 @@
     struct submission {
         std::string id;
         std::string record;
+        /** End of the attempts while none was left undecided: the caller is told to come back. */
+        time_ms refuse_at = 0;
+        /** End of the attempts once one is undecided, as the caller may not send it again then. */
         time_ms give_up_at = 0;
         time_ms began_at = 0;
         int attempts = 0;
@@ -147,44 +152,55 @@
         open->id = call.job;
         open->record = scheduler::encode_job_spec(spec);
         open->began_at = boottime_now();
-        open->give_up_at =
-            open->began_at + std::min(patience_of(request) - answer_margin_ms, longest_try_ms);
+        open->give_up_at = open->began_at + patience_of(request) - answer_margin_ms;
+        open->refuse_at = std::min(open->give_up_at, open->began_at + refused_try_ms);
         open->respond = std::move(respond);
         store(open);
     }
 
     void store(const std::shared_ptr<submission>& open) {
         ++open->attempts;
+        if (context.store.unavailable()) {
+            store_through_peer(open);
+            return;
+        }
         platform::append_request append;
         append.where = platform::topic::submissions;
         append.records = {{open->id, open->record}};
         append.timeout_ms = append_timeout_ms;
         context.store.append(
             append, [self = weak_from_this(), open](const platform::append_outcome& outcome) {
+                if (const auto alive = self.lock()) {
+                    alive->store_done(open, outcome.status);
+                }
+            });
+    }
+
+    void store_through_peer(const std::shared_ptr<submission>& open) {
+        context.others.append_submission(
+            open->id, open->record,
+            [self = weak_from_this(), open](platform::store_status outcome) {
                 if (const auto alive = self.lock()) {
                     alive->store_done(open, outcome);
                 }
             });
     }
 
-    void store_done(const std::shared_ptr<submission>& open,
-                    const platform::append_outcome& outcome) {
+    void store_done(const std::shared_ptr<submission>& open, platform::store_status outcome) {
         const time_ms now = boottime_now();
-        if (outcome.status == platform::store_status::ok) {
+        if (outcome == platform::store_status::ok) {
             context.counters.count("submissions_total", "outcome", "accepted");
             context.counters.observe_ms("submission_ms", static_cast<double>(now - open->began_at));
             context.log.write("job_accepted",
                               "request=" + open->id +
-                                  " offset=" + std::to_string(outcome.offset) +
                                   " attempts=" + std::to_string(open->attempts) +
                                   " took_ms=" + std::to_string(now - open->began_at));
             open->respond(plain(200));
             return;
         }
-        open->undecided =
-            open->undecided || outcome.status == platform::store_status::no_answer;
+        open->undecided = open->undecided || outcome == platform::store_status::no_answer;
         context.counters.count("store_retries_total", "call", "submission");
-        if (now < open->give_up_at) {
+        if (now < (open->undecided ? open->give_up_at : open->refuse_at)) {
             later(retry_pause_ms, [open](impl& i) { i.store(open); });
             return;
         }
--- a/libs/node/src/caller_api.h
+++ b/libs/node/src/caller_api.h
@@ -4,6 +4,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "leader.h"
+#include "peers.h"
 
 #include <functional>
 #include <memory>
@@ -20,6 +21,8 @@
     metrics& counters;
     /** The configuration in force; null before the first and while it may be out of date. */
     std::function<std::shared_ptr<const gateway::configuration>()> configuration;
+    /** Hosts that may reach the store while this one doesn't. */
+    peers& others;
     /** This process's own term of leadership, or null. */
     std::function<leader*()> own_term;
     /** Where the leader answers other entry hosts; empty while unknown. */
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "leader.h"
 #include "leadership.h"
 #include "platform/documents.h"
+#include "peers.h"
 #include "platform/headers.h"
 #include "topic_follower.h"
 
@@ -17,6 +18,8 @@
 /** Wait of a read for the operator's documents; a third of the time to take a change over. */
 constexpr time_ms operator_wait_ms = 650;
 constexpr time_ms lease_wait_ms = 1000;
+/** Interval in which hosts look for new ones. */
+constexpr time_ms member_interval_ms = 3000;
 /** A renewal without an answer is repeated after this; longer than a slow store's answer. */
 constexpr time_ms lease_write_timeout_ms = 600;
 /** Spread of candidates for a vacant lease. */
@@ -42,8 +45,14 @@
     std::mt19937_64 random{std::random_device{}()};
 
     std::shared_ptr<const gateway::configuration> configuration;
+    /** The configuration as the operator wrote it, for peers. */
+    std::string configuration_text;
+    /** Time (boottime) as of which a peer confirmed the configuration. */
+    time_ms peer_confirmed_at = 0;
     std::unique_ptr<topic_follower> documents;
     std::unique_ptr<topic_follower> leases;
+    std::unique_ptr<topic_follower> members;
+    std::unique_ptr<peers> others;
     leadership_state leadership;
     std::unique_ptr<leader> term;
     std::unique_ptr<caller_api> callers;
@@ -110,12 +119,19 @@
     }
 
     void begin() {
+        others = std::make_unique<peers>(peer_context{
+            loop, http, store, log, counters, settings.internal_address(),
+            [this](std::uint64_t known) { return own_view(known); },
+            [this](const store_view& view, time_ms sent_at) { adopt(view, sent_at); },
+            [this] { return configuration ? configuration->version : 0; }});
         callers = std::make_unique<caller_api>(
             caller_context{loop, http, store, log, counters, [this] { return in_force(); },
-                           [this] { return term.get(); },
+                           *others, [this] { return term.get(); },
                            [this] { return leader_address(leadership); }});
         follow_documents();
         follow_leases();
+        follow_members();
+        register_member();
         later(tick_ms, [](impl& i) { i.tick(); });
     }
 
@@ -132,7 +148,74 @@
     std::shared_ptr<const gateway::configuration> in_force() const {
         const time_ms oldest =
             boottime_now() - settings.configuration_bound_ms + configuration_margin_ms;
-        return documents->confirmed_at_ms() >= oldest ? configuration : nullptr;
+        return confirmed_at() >= oldest ? configuration : nullptr;
+    }
+
+    time_ms confirmed_at() const {
+        return std::max(documents->confirmed_at_ms(), peer_confirmed_at);
+    }
+
+    /** Returns what a peer that can't read the store may go by. */
+    std::optional<store_view> own_view(std::uint64_t known_version) const {
+        if (!configuration || documents->confirmed_at_ms() == 0) {
+            return std::nullopt;
+        }
+        const time_ms now = boottime_now();
+        store_view view;
+        view.configuration_version = configuration->version;
+        view.configuration_age_ms = now - documents->confirmed_at_ms();
+        if (configuration->version > known_version) {
+            view.configuration = configuration_text;
+        }
+        if (leadership.newest) {
+            view.lease = leadership.newest;
+            view.lease_offset = leadership.newest_offset;
+            view.lease_age_ms = now - leadership.newest_read_at_ms;
+        }
+        return view;
+    }
+
+    void adopt(const store_view& view, time_ms sent_at) {
+        if (!view.configuration.empty()) {
+            configuration_read(view.configuration, "peer");
+        }
+        if (configuration && configuration->version >= view.configuration_version) {
+            peer_confirmed_at =
+                std::max(peer_confirmed_at, sent_at - view.configuration_age_ms);
+        }
+        if (view.lease) {
+            lease_read(leadership, boottime_now(), view.lease_offset, *view.lease);
+            update_term();
+        }
+    }
+
+    void follow_members() {
+        follower_options options;
+        options.where = platform::topic::members;
+        options.wait_ms = 0;
+        options.pause_ms = member_interval_ms;
+        options.on_snapshot = [this](const auto& records) {
+            for (const auto& record : records) {
+                others->add_member(record.key);
+            }
+        };
+        options.on_record = [this](const auto& record) { others->add_member(record.key); };
+        members = std::make_unique<topic_follower>(loop, store, std::move(options));
+    }
+
+    /** Writes this host's address down, so that others can find it. */
+    void register_member() {
+        platform::append_request request;
+        request.where = platform::topic::members;
+        request.records = {{settings.internal_address(), settings.name}};
+        store.append(request,
+                     [self = weak_from_this()](const platform::append_outcome& outcome) {
+                         const auto alive = self.lock();
+                         if (alive && outcome.status != platform::store_status::ok) {
+                             alive->later(member_interval_ms,
+                                          [](impl& i) { i.register_member(); });
+                         }
+                     });
     }
 
     bool ready() const { return !stopping && in_force() != nullptr; }
@@ -147,9 +230,12 @@
             internal_server->respond(token, response);
             return;
         }
-        callers->handle_forwarded(request, [this, token](const http_response& response) {
+        const auto respond = [this, token](const http_response& response) {
             internal_server->respond(token, response);
-        });
+        };
+        if (!others->handle(request, respond)) {
+            callers->handle_forwarded(request, respond);
+        }
     }
 
     void follow_documents() {
@@ -177,10 +263,14 @@
         if (record.key != platform::configuration_key || record.value.empty()) {
             return;
         }
-        auto decoded = platform::decode_configuration(record.value);
+        configuration_read(record.value, "store");
+    }
+
+    void configuration_read(const std::string& text, const char* source) {
+        auto decoded = platform::decode_configuration(text);
         if (!decoded) {
             log.write("configuration_unreadable",
-                      "offset=" + std::to_string(record.offset) + " error=\"" +
+                      std::string("source=") + source + " error=\"" +
                           describe(decoded.error()) + "\"");
             return;
         }
@@ -188,11 +278,12 @@
             return;
         }
         log.write("configuration_in_force",
-                  "version=" + std::to_string(decoded.value().version) +
+                  "version=" + std::to_string(decoded.value().version) + " source=" + source +
                       " routes=" + std::to_string(decoded.value().routes.size()) +
                       " keys=" + std::to_string(decoded.value().account_by_key.size()));
         configuration =
             std::make_shared<const gateway::configuration>(std::move(decoded.value()));
+        configuration_text = text;
         if (term) {
             term->set_guarantees(configuration->guarantees);
         }
@@ -282,6 +373,9 @@
     void tick() {
         write_lease();
         update_term();
+        if (store.unavailable()) {
+            others->refresh_view();
+        }
         log.flush();
         if (stopping) {
             continue_stopping();
--- /dev/null
+++ b/libs/node/src/peers.cpp
@@ -0,0 +1,228 @@
+#include "peers.h"
+
+#include "base/json.h"
+
+#include <algorithm>
+
+namespace fulmarworks::node {
+
+namespace {
+
+constexpr std::string_view view_path = "/v1/peer/view";
+constexpr std::string_view append_path = "/v1/peer/submission";
+constexpr time_ms view_timeout_ms = 400;
+constexpr time_ms view_interval_ms = 250;
+constexpr time_ms append_timeout_ms = 700;
+/** A peer that failed is asked last for this long. */
+constexpr time_ms failed_peer_pause_ms = 3000;
+
+json encode_view(const store_view& v) {
+    json j = {{"version", v.configuration_version},
+              {"configuration", v.configuration},
+              {"configuration_age_ms", v.configuration_age_ms}};
+    if (v.lease) {
+        j["lease"] = encode_lease(*v.lease);
+        j["lease_offset"] = v.lease_offset;
+        j["lease_age_ms"] = v.lease_age_ms;
+    }
+    return j;
+}
+
+std::optional<store_view> decode_view(const std::string& body) {
+    const auto parsed = parse_json(body);
+    if (!parsed || !parsed.value().is_object()) {
+        return std::nullopt;
+    }
+    const json& j = parsed.value();
+    try {
+        store_view v;
+        v.configuration_version = j.at("version").get<std::uint64_t>();
+        v.configuration = j.at("configuration").get<std::string>();
+        v.configuration_age_ms = j.at("configuration_age_ms").get<time_ms>();
+        if (j.contains("lease")) {
+            const auto lease = decode_lease(j.at("lease").get<std::string>());
+            if (!lease) {
+                return std::nullopt;
+            }
+            v.lease = lease.value();
+            v.lease_offset = j.at("lease_offset").get<std::uint64_t>();
+            v.lease_age_ms = j.at("lease_age_ms").get<time_ms>();
+        }
+        return v;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+http_response status_only(int status) {
+    http_response response;
+    response.status = status;
+    response.body = "{}";
+    return response;
+}
+
+int status_of(platform::store_status outcome) {
+    switch (outcome) {
+    case platform::store_status::ok: return 200;
+    case platform::store_status::no_answer: return 504;
+    default: return 503;
+    }
+}
+
+} // namespace
+
+struct peers::impl : std::enable_shared_from_this<impl> {
+    struct member {
+        std::string address;
+        time_ms failed_at = 0;
+    };
+
+    peer_context context;
+    std::vector<member> members;
+    std::size_t next = 0;
+    bool asking = false;
+    time_ms asked_at = 0;
+
+    explicit impl(peer_context c) : context(std::move(c)) {}
+
+    /** Returns the next member that hasn't just failed, or the next one, or null without any. */
+    member* choose() {
+        const time_ms now = boottime_now();
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            member& m = members[next++ % members.size()];
+            if (m.failed_at == 0 || now - m.failed_at > failed_peer_pause_ms) {
+                return &m;
+            }
+        }
+        return members.empty() ? nullptr : &members[next++ % members.size()];
+    }
+
+    void mark_failed(const std::string& address) {
+        for (auto& m : members) {
+            if (m.address == address) {
+                m.failed_at = boottime_now();
+            }
+        }
+    }
+
+    void ask_view() {
+        const time_ms now = boottime_now();
+        if (asking || now - asked_at < view_interval_ms) {
+            return;
+        }
+        const member* m = choose();
+        if (m == nullptr) {
+            return;
+        }
+        asking = true;
+        asked_at = now;
+        http_call call;
+        call.address = m->address;
+        call.target = std::string(view_path) + "?known=" + std::to_string(context.known_version());
+        call.timeout_ms = view_timeout_ms;
+        context.http.send(call, [self = weak_from_this(), address = m->address,
+                                 now](const http_answer& answer) {
+            if (const auto alive = self.lock()) {
+                alive->view_answered(address, answer, now);
+            }
+        });
+    }
+
+    void view_answered(const std::string& address, const http_answer& answer, time_ms sent_at) {
+        asking = false;
+        if (answer.status != 200) {
+            mark_failed(address);
+            return;
+        }
+        if (const auto view = decode_view(answer.body)) {
+            context.adopt(*view, sent_at);
+        }
+    }
+
+    void answer_view(const http_request& request,
+                     const std::function<void(const http_response&)>& respond) const {
+        const auto known = static_cast<std::uint64_t>(query_number(request.query, "known", 0));
+        const auto view = context.view(known);
+        if (!view) {
+            respond(status_only(503));
+            return;
+        }
+        http_response response;
+        response.body = encode_view(*view).dump();
+        respond(response);
+    }
+
+    void answer_append(const http_request& request,
+                       const std::function<void(const http_response&)>& respond) const {
+        if (context.store.unavailable()) {
+            respond(status_only(status_of(platform::store_status::refused)));
+            return;
+        }
+        platform::append_request append;
+        append.where = platform::topic::submissions;
+        append.records = {{query_value(request.query, "id"), request.body}};
+        append.timeout_ms = append_timeout_ms;
+        context.store.append(append, [respond](const platform::append_outcome& outcome) {
+            respond(status_only(status_of(outcome.status)));
+        });
+    }
+};
+
+peers::peers(peer_context context) : impl_(std::make_shared<impl>(std::move(context))) {}
+
+peers::~peers() = default;
+
+void peers::add_member(const std::string& address) {
+    const bool known = std::any_of(impl_->members.begin(), impl_->members.end(),
+                                   [&](const auto& m) { return m.address == address; });
+    if (!known && address != impl_->context.own_address && parse_address(address)) {
+        impl_->members.push_back({address, 0});
+    }
+}
+
+void peers::refresh_view() {
+    impl_->ask_view();
+}
+
+void peers::append_submission(const std::string& id, const std::string& record,
+                              std::function<void(platform::store_status)> done) {
+    const auto* m = impl_->choose();
+    if (m == nullptr) {
+        done(platform::store_status::refused);
+        return;
+    }
+    http_call call;
+    call.method = "POST";
+    call.address = m->address;
+    call.target = std::string(append_path) + "?id=" + id;
+    call.body = record;
+    call.timeout_ms = append_timeout_ms;
+    impl_->context.counters.count("peer_appends_total", "kind", "submission");
+    impl_->context.http.send(call, [self = std::weak_ptr<impl>(impl_), address = m->address,
+                                    done = std::move(done)](const http_answer& answer) {
+        const auto alive = self.lock();
+        if (alive && answer.status != 200) {
+            alive->mark_failed(address);
+        }
+        switch (answer.status) {
+        case 200: done(platform::store_status::ok); return;
+        case 503: done(platform::store_status::refused); return;
+        default: done(platform::store_status::no_answer); return;
+        }
+    });
+}
+
+bool peers::handle(const http_request& request,
+                   const std::function<void(const http_response&)>& respond) {
+    if (request.path == view_path) {
+        impl_->answer_view(request, respond);
+        return true;
+    }
+    if (request.path == append_path) {
+        impl_->answer_append(request, respond);
+        return true;
+    }
+    return false;
+}
+
+} // namespace fulmarworks::node
