Notice the store's return sooner, keep leading through longer outages, spread returns by the outage's age

Cause: after 4.2 s without the store it took 1.2 s to notice its return, the leader had given up (grace 3 s), and callers used up their retries within the outage. Change: reads that follow a failure don't wait; grace 5 s; Retry-After grows with the age of the outage from 1 to 4 s; an attempt never outlasts its caller's patience.

--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -4,6 +4,7 @@
 #include "platform/documents.h"
 #include "scheduler/codec.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace fulmarworks::node {
@@ -21,8 +22,12 @@
 constexpr time_ms append_timeout_ms = 700;
 constexpr time_ms forward_timeout_ms = 700;
 constexpr time_ms retry_pause_ms = 60;
-/** A caller that is turned away returns after about a leadership change. */
-constexpr time_ms come_back_ms = 1000;
+/** A caller that is turned away returns after about a change of the leader ... */
+constexpr time_ms shortest_come_back_ms = 1000;
+/** ... or later, but within the patience of a person who waits. */
+constexpr time_ms longest_come_back_ms = 4000;
+/** An attempt with less time than this is not worth making. */
+constexpr time_ms shortest_attempt_ms = 50;
 
 /** Questions that one entry host asks another. */
 constexpr std::string_view query_path = "/v1/leader/job";
@@ -44,7 +49,7 @@
 }
 
 /** A refusal that says the request has not run. */
-http_response unavailable() {
+http_response unavailable(time_ms come_back_ms = shortest_come_back_ms) {
     http_response response = plain(503);
     response.retry_after_ms = come_back_ms;
     response.close_connection = true;
@@ -120,6 +125,15 @@
         });
     }
 
+    /**
+     * Refuses with when to come back. An outage that has lasted for a while is likely to last as long
+     * again, so callers come back later the longer it has lasted; each has only a few retries.
+     */
+    [[nodiscard]] http_response come_back() const {
+        return unavailable(std::clamp(context.store.unavailable_for_ms(), shortest_come_back_ms,
+                                      longest_come_back_ms));
+    }
+
     void refuse(const char* reason, const std::string& id, const http_response& response,
                 const respond_handler& respond) {
         context.counters.count("refusals_total", "reason", reason);
@@ -167,7 +181,8 @@
         platform::append_request append;
         append.where = platform::topic::submissions;
         append.records = {{open->id, open->record}};
-        append.timeout_ms = append_timeout_ms;
+        append.timeout_ms = std::clamp(open->give_up_at - boottime_now(), shortest_attempt_ms,
+                                       append_timeout_ms);
         context.store.append(
             append, [self = weak_from_this(), open](const platform::append_outcome& outcome) {
                 if (const auto alive = self.lock()) {
@@ -207,7 +222,7 @@
         if (open->undecided) {
             refuse("store_silent", open->id, undecided(), open->respond);
         } else {
-            refuse("store_unavailable", open->id, unavailable(), open->respond);
+            refuse("store_unavailable", open->id, come_back(), open->respond);
         }
     }
 
@@ -248,7 +263,7 @@
             return;
         }
         if (!final_answer) {
-            refuse("no_leader", q->id, unavailable(), q->respond);
+            refuse("no_leader", q->id, come_back(), q->respond);
             return;
         }
         q->respond(response);
@@ -309,7 +324,7 @@
     if (const auto* refused = std::get_if<gateway::refusal>(&kind)) {
         const std::string name(gateway::name_of(*refused));
         const int status = gateway::status_of(*refused);
-        impl_->refuse(name.c_str(), "-", status == 503 ? unavailable() : plain(status), respond);
+        impl_->refuse(name.c_str(), "-", status == 503 ? impl_->come_back() : plain(status), respond);
     } else if (const auto* submit = std::get_if<gateway::submit_job>(&kind)) {
         impl_->submit(*submit, request, *config, std::move(respond));
     } else if (const auto* query = std::get_if<gateway::query_job>(&kind)) {
--- a/libs/node/src/leadership.h
+++ b/libs/node/src/leadership.h
@@ -17,8 +17,9 @@
 inline constexpr time_ms leader_renewal_ms = 220;
 /** A lease covers this many of the slowest recent answers of the store. */
 inline constexpr int lease_answers = 4;
-/** Time for which a leader that can't renew goes on with what runs already. */
-inline constexpr time_ms leader_grace_ms = 3000;
+/** Time for which a leader that can't renew goes on with what runs already; with the lease of a
+ * worker it bridges an outage of the store of 9 s without losing work. */
+inline constexpr time_ms leader_grace_ms = 5000;
 
 /** One record of the leadership log. */
 struct lease_record {
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 /** Pause after a failed read. */
-constexpr time_ms retry_pause_ms = 150;
+constexpr time_ms retry_pause_ms = 100;
 
 } // namespace
 
@@ -15,6 +15,8 @@
     follower_options options;
     bool stopped = false;
     bool loaded = false;
+    /** The last read failed; the next one doesn't wait, so that it shows the store's return soon. */
+    bool failing = false;
     std::uint64_t next = 0;
     std::uint64_t first_end = 0;
     time_ms confirmed_at = 0;
@@ -86,7 +88,7 @@
             return;
         }
         const time_ms sent_at = boottime_now();
-        store.read(options.where, next, options.wait_ms,
+        store.read(options.where, next, failing ? 0 : options.wait_ms,
                    [self = weak_from_this(), sent_at](const platform::read_outcome& outcome) {
                        const auto alive = self.lock();
                        if (alive && !alive->stopped) {
@@ -100,7 +102,8 @@
             load();
             return;
         }
-        if (outcome.status != platform::store_status::ok) {
+        failing = outcome.status != platform::store_status::ok;
+        if (failing) {
             report(false);
             later(retry_pause_ms, [](impl& i) { i.read(); });
             return;
