Evacuate workers that leave before a task can end

Cause: tasks on draining workers ran until the worker was gone and were lost then. Change: what can't end within the worker's remaining time, by its progress so far, is stopped at once.

--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -63,6 +63,8 @@
     worker_report report;
     /** Present in the registry. */
     bool listed = false;
+    /** Monotonic time until which a draining worker runs at least. */
+    time_ms leaves_at_ms = 0;
     /** Answered under the current fencing token. */
     bool verified = false;
     bool poll_outstanding = false;
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -13,6 +13,8 @@
 
 /** Longest time without a plan while work waits, as waiting changes what may be done. */
 constexpr time_ms replan_interval_ms = 250;
+/** Time that a leaving worker often stays longer than it said, and error of the forecast. */
+constexpr time_ms evacuation_margin_ms = 500;
 /** A task whose progress doesn't change for this long stands still, whatever its estimate says. */
 constexpr time_ms stall_limit_ms = 3000;
 /** Time for which a worker on which a task stood still gets no new ones. */
@@ -152,11 +154,49 @@
     }
 }
 
+/** Returns the time that a running task still needs at the pace it has had; -1 while unknown. */
+time_ms remaining_run_ms(const task& t, time_ms now_ms) {
+    constexpr int whole = 100;
+    if (t.percent <= 0) {
+        return -1;
+    }
+    const time_ms run_for = t.progressed_at_ms - t.started_at_ms;
+    const time_ms left = run_for * (whole - t.percent) / t.percent;
+    return std::max<time_ms>(0, left - (now_ms - t.progressed_at_ms));
+}
+
+/**
+ * Moves tasks off workers that leave before the tasks could end.
+ *
+ * Load it answers: workers that are emptied and taken away under long tasks; what can't end there is
+ * lost in any case, and starts elsewhere the sooner it is stopped.
+ */
+void evacuate_leaving_workers(reduction& r) {
+    for (auto& [id, w] : r.state.workers) {
+        if (!w.report.draining || !w.listed) {
+            continue;
+        }
+        const time_ms left = w.leaves_at_ms - r.now.monotonic_ms;
+        const auto assigned = w.assigned;
+        for (const auto& task_name : assigned) {
+            const task_place place = find_task(r.state, task_name);
+            if (!place || place.item->phase != task_phase::running || place.spec->long_running) {
+                continue;
+            }
+            const time_ms needed = remaining_run_ms(*place.item, r.now.monotonic_ms);
+            if (needed > left + evacuation_margin_ms) {
+                stop_task(r, task_name, place, "worker_leaves");
+            }
+        }
+    }
+}
+
 void advance(reduction& r) {
     for (auto& [id, j] : r.state.jobs) {
         open_due_occurrences(r, *j);
     }
     stop_stalled_tasks(r);
+    evacuate_leaving_workers(r);
     maintain_workers(r);
     if (r.now.monotonic_ms - r.state.planned_at_ms >= replan_interval_ms) {
         r.state.plan_needed = true;
--- a/libs/scheduler/src/worker_links.cpp
+++ b/libs/scheduler/src/worker_links.cpp
@@ -272,6 +272,7 @@
     const bool was_draining = w.report.draining && w.listed;
     const time_ms known_life = w.report.life.born_ms;
     w.report = report;
+    w.leaves_at_ms = r.now.monotonic_ms + report.remaining_ms;
     w.report.life.born_ms = std::max(known_life, report.life.born_ms);
     if (known_life != 0 && report.life.born_ms > known_life) {
         w.report.life.born_ms = known_life;
