--- a/libs/gateway/src/classify.cpp
+++ b/libs/gateway/src/classify.cpp
@@ -19,8 +19,7 @@
     return host.substr(0, host.find(':'));
 }
 
-classified classify_job_call(const route& queue, const request_line& request,
-                             std::string account) {
+classified classify_job_call(const route& queue, const request_line& request, std::string account) {
     const std::string_view rest = request.path.substr(queue.path_prefix.size());
     if (rest.empty()) {
         return request.method == "GET" ? classified(query_queue{&queue})
@@ -43,8 +42,7 @@
 
 } // namespace
 
-const route* find_route(const configuration& config, std::string_view host,
-                        std::string_view path) {
+const route* find_route(const configuration& config, std::string_view host, std::string_view path) {
     const std::string_view name = without_port(host);
     const route* best = nullptr;
     for (const auto& r : config.routes) {
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -36,7 +36,8 @@
 /** Returns the value of a query parameter, decoded, or an empty text. Thread safe. */
 [[nodiscard]] std::string query_value(std::string_view query, std::string_view key);
 
-/** Returns what follows `prefix` in the path, unless it is empty or the path differs. Thread safe. */
+/** Returns what follows `prefix` in the path, unless it is empty or the path differs. Thread safe.
+ */
 [[nodiscard]] std::optional<std::string> path_argument(const http_request& request,
                                                        std::string_view prefix);
 
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -126,8 +126,8 @@
     }
 
     /**
-     * Refuses with when to come back. An outage that has lasted for a while is likely to last as long
-     * again, so callers come back later the longer it has lasted; each has only a few retries.
+     * Refuses with when to come back. An outage that has lasted for a while is likely to last as
+     * long again, so callers come back later the longer it has lasted; each has only a few retries.
      */
     [[nodiscard]] http_response come_back() const {
         return unavailable(std::clamp(context.store.unavailable_for_ms(), shortest_come_back_ms,
@@ -137,8 +137,8 @@
     void refuse(const char* reason, const std::string& id, const http_response& response,
                 const respond_handler& respond) {
         context.counters.count("refusals_total", "reason", reason);
-        context.log.write("request_refused", "request=" + id + " reason=" + reason + " status=" +
-                                                 std::to_string(response.status));
+        context.log.write("request_refused", "request=" + id + " reason=" + reason +
+                                                 " status=" + std::to_string(response.status));
         respond(response);
     }
 
@@ -181,8 +181,8 @@
         platform::append_request append;
         append.where = platform::topic::submissions;
         append.records = {{open->id, open->record}};
-        append.timeout_ms = std::clamp(open->give_up_at - boottime_now(), shortest_attempt_ms,
-                                       append_timeout_ms);
+        append.timeout_ms =
+            std::clamp(open->give_up_at - boottime_now(), shortest_attempt_ms, append_timeout_ms);
         context.store.append(
             append, [self = weak_from_this(), open](const platform::append_outcome& outcome) {
                 if (const auto alive = self.lock()) {
@@ -269,33 +269,32 @@
         q->respond(response);
     }
 
-    void start_question(std::string id, std::string target, std::string method,
-                        const http_request& request, respond_handler respond,
-                        std::function<void(leader&, std::function<void(const http_response&)>)>
-                            ask_leader) {
+    void start_question(
+        std::string id, std::string target, std::string method, const http_request& request,
+        respond_handler respond,
+        std::function<void(leader&, std::function<void(const http_response&)>)> ask_leader) {
         auto q = std::make_shared<question>();
         q->id = std::move(id);
         q->target = std::move(target);
         q->method = std::move(method);
-        q->give_up_at = boottime_now() +
-                        std::min(patience_of(request) - answer_margin_ms, longest_try_ms);
+        q->give_up_at =
+            boottime_now() + std::min(patience_of(request) - answer_margin_ms, longest_try_ms);
         q->ask = std::move(ask_leader);
         q->respond = std::move(respond);
         ask(q);
     }
 
     void query(const std::string& job, const http_request& request, respond_handler respond) {
-        start_question(job, std::string(query_path) + job, "GET", request,
-                       std::move(respond), [job](leader& term, const auto& done) {
-                           term.query(job, [done](const job_answer& answer) {
-                               done(state_response(answer));
-                           });
-                       });
+        start_question(
+            job, std::string(query_path) + job, "GET", request, std::move(respond),
+            [job](leader& term, const auto& done) {
+                term.query(job, [done](const job_answer& answer) { done(state_response(answer)); });
+            });
     }
 
     void cancel(const std::string& job, const http_request& request, respond_handler respond) {
-        start_question(job, std::string(cancel_path) + job, "POST", request,
-                       std::move(respond), [job](leader& term, const auto& done) {
+        start_question(job, std::string(cancel_path) + job, "POST", request, std::move(respond),
+                       [job](leader& term, const auto& done) {
                            term.cancel(job, [done](const job_answer& answer) {
                                done(state_response(answer));
                            });
@@ -304,10 +303,9 @@
 
     void queue_length(const std::string& queue, const http_request& request,
                       respond_handler respond) {
-        start_question("-", std::string(pending_path) + queue, "GET", request,
-                       std::move(respond), [queue](leader& term, const auto& done) {
-                           done(pending_response(&term, queue));
-                       });
+        start_question(
+            "-", std::string(pending_path) + queue, "GET", request, std::move(respond),
+            [queue](leader& term, const auto& done) { done(pending_response(&term, queue)); });
     }
 };
 
@@ -324,7 +322,8 @@
     if (const auto* refused = std::get_if<gateway::refusal>(&kind)) {
         const std::string name(gateway::name_of(*refused));
         const int status = gateway::status_of(*refused);
-        impl_->refuse(name.c_str(), "-", status == 503 ? impl_->come_back() : plain(status), respond);
+        impl_->refuse(name.c_str(), "-", status == 503 ? impl_->come_back() : plain(status),
+                      respond);
     } else if (const auto* submit = std::get_if<gateway::submit_job>(&kind)) {
         impl_->submit(*submit, request, *config, std::move(respond));
     } else if (const auto* query = std::get_if<gateway::query_job>(&kind)) {
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -3,8 +3,8 @@
 #include "caller_api.h"
 #include "leader.h"
 #include "leadership.h"
-#include "platform/documents.h"
 #include "peers.h"
+#include "platform/documents.h"
 #include "platform/headers.h"
 #include "topic_follower.h"
 
@@ -90,16 +90,15 @@
             return caller.error();
         }
         caller_server = std::move(caller.value());
-        auto readiness =
-            http_server::Builder()
-                .address(settings.readiness_address)
-                .read_timeout_ms(60 * milliseconds_per_second)
-                .on_request([this](const http_request&, std::uint64_t token) {
-                    http_response response;
-                    response.status = ready() ? 200 : 503;
-                    readiness_server->respond(token, response);
-                })
-                .build(loop);
+        auto readiness = http_server::Builder()
+                             .address(settings.readiness_address)
+                             .read_timeout_ms(60 * milliseconds_per_second)
+                             .on_request([this](const http_request&, std::uint64_t token) {
+                                 http_response response;
+                                 response.status = ready() ? 200 : 503;
+                                 readiness_server->respond(token, response);
+                             })
+                             .build(loop);
         if (!readiness) {
             return readiness.error();
         }
@@ -119,15 +118,14 @@
     }
 
     void begin() {
-        others = std::make_unique<peers>(peer_context{
-            loop, http, store, log, counters, settings.internal_address(),
-            [this](std::uint64_t known) { return own_view(known); },
-            [this](const store_view& view, time_ms sent_at) { adopt(view, sent_at); },
-            [this] { return configuration ? configuration->version : 0; }});
-        callers = std::make_unique<caller_api>(
-            caller_context{loop, http, store, log, counters, [this] { return in_force(); },
-                           *others, [this] { return term.get(); },
-                           [this] { return leader_address(leadership); }});
+        others = std::make_unique<peers>(
+            peer_context{loop, http, store, log, counters, settings.internal_address(),
+                         [this](std::uint64_t known) { return own_view(known); },
+                         [this](const store_view& view, time_ms sent_at) { adopt(view, sent_at); },
+                         [this] { return configuration ? configuration->version : 0; }});
+        callers = std::make_unique<caller_api>(caller_context{
+            loop, http, store, log, counters, [this] { return in_force(); }, *others,
+            [this] { return term.get(); }, [this] { return leader_address(leadership); }});
         follow_documents();
         follow_leases();
         follow_members();
@@ -180,8 +178,7 @@
             configuration_read(view.configuration, "peer");
         }
         if (configuration && configuration->version >= view.configuration_version) {
-            peer_confirmed_at =
-                std::max(peer_confirmed_at, sent_at - view.configuration_age_ms);
+            peer_confirmed_at = std::max(peer_confirmed_at, sent_at - view.configuration_age_ms);
         }
         if (view.lease) {
             lease_read(leadership, boottime_now(), view.lease_offset, *view.lease);
@@ -208,14 +205,12 @@
         platform::append_request request;
         request.where = platform::topic::members;
         request.records = {{settings.internal_address(), settings.name}};
-        store.append(request,
-                     [self = weak_from_this()](const platform::append_outcome& outcome) {
-                         const auto alive = self.lock();
-                         if (alive && outcome.status != platform::store_status::ok) {
-                             alive->later(member_interval_ms,
-                                          [](impl& i) { i.register_member(); });
-                         }
-                     });
+        store.append(request, [self = weak_from_this()](const platform::append_outcome& outcome) {
+            const auto alive = self.lock();
+            if (alive && outcome.status != platform::store_status::ok) {
+                alive->later(member_interval_ms, [](impl& i) { i.register_member(); });
+            }
+        });
     }
 
     bool ready() const { return !stopping && in_force() != nullptr; }
@@ -269,9 +264,8 @@
     void configuration_read(const std::string& text, const char* source) {
         auto decoded = platform::decode_configuration(text);
         if (!decoded) {
-            log.write("configuration_unreadable",
-                      std::string("source=") + source + " error=\"" +
-                          describe(decoded.error()) + "\"");
+            log.write("configuration_unreadable", std::string("source=") + source + " error=\"" +
+                                                      describe(decoded.error()) + "\"");
             return;
         }
         if (configuration && decoded.value().version <= configuration->version) {
@@ -281,8 +275,7 @@
                   "version=" + std::to_string(decoded.value().version) + " source=" + source +
                       " routes=" + std::to_string(decoded.value().routes.size()) +
                       " keys=" + std::to_string(decoded.value().account_by_key.size()));
-        configuration =
-            std::make_shared<const gateway::configuration>(std::move(decoded.value()));
+        configuration = std::make_shared<const gateway::configuration>(std::move(decoded.value()));
         configuration_text = text;
         if (term) {
             term->set_guarantees(configuration->guarantees);
@@ -332,12 +325,11 @@
         request.records = {{"leader", encode_lease(due->record)}};
         request.expected_end = due->expected_end;
         request.timeout_ms = lease_write_timeout_ms;
-        store.append(request,
-                     [self = weak_from_this()](const platform::append_outcome& outcome) {
-                         if (const auto alive = self.lock()) {
-                             alive->lease_written(outcome);
-                         }
-                     });
+        store.append(request, [self = weak_from_this()](const platform::append_outcome& outcome) {
+            if (const auto alive = self.lock()) {
+                alive->lease_written(outcome);
+            }
+        });
     }
 
     void lease_written(const platform::append_outcome& outcome) {
@@ -361,8 +353,7 @@
                 leadership.epoch,
                 leadership.predecessor_ended ? scheduler::predecessor::ended
                                              : scheduler::predecessor::may_be_alive,
-                configuration ? configuration->guarantees
-                                                : scheduler::guarantees{},
+                configuration ? configuration->guarantees : scheduler::guarantees{},
                 [this] { resign(leadership); });
         } else if (!is_leader(leadership) && term) {
             log.write("leader_stopped", "");
@@ -405,9 +396,8 @@
 result<std::unique_ptr<entry_node>> entry_node::start(event_loop& loop,
                                                       const node_settings& settings) {
     auto i = std::make_shared<impl>(loop, settings);
-    i->log.write("node_started", "address=" + settings.caller_address +
-                                     " failure_domain=" + settings.failure_domain +
-                                     " store=" + settings.store_address);
+    i->log.write("node_started", "address=" + settings.caller_address + " failure_domain=" +
+                                     settings.failure_domain + " store=" + settings.store_address);
     const auto listening = i->listen();
     if (!listening) {
         return listening.error();
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -108,8 +108,7 @@
             return;
         }
         fenced_out = true;
-        context.log.write("leader_deposed",
-                          "epoch=" + std::to_string(epoch) + " reason=" + reason);
+        context.log.write("leader_deposed", "epoch=" + std::to_string(epoch) + " reason=" + reason);
         later(0, [](impl& i) { i.on_deposed(); });
     }
 
@@ -119,8 +118,7 @@
         request.where = platform::topic::progress;
         request.writer = platform::writer_position{epoch, sequence};
         request.timeout_ms = store_timeout_ms;
-        context.store.append(request,
-                             guarded([](impl& i, const platform::append_outcome& outcome) {
+        context.store.append(request, guarded([](impl& i, const platform::append_outcome& outcome) {
                                  i.fence_done(outcome);
                              }));
     }
@@ -260,8 +258,8 @@
             }
             auto spec = scheduler::decode_job_spec(data);
             if (!spec) {
-                context.log.write("submission_unreadable", "request=" + id + " error=\"" +
-                                                               describe(spec.error()) + "\"");
+                context.log.write("submission_unreadable",
+                                  "request=" + id + " error=\"" + describe(spec.error()) + "\"");
                 continue;
             }
             spec.value().id = id;
@@ -276,8 +274,8 @@
             context.log.write("progress_unreadable", "request=" + id);
         }
         context.log.write("leader_ready",
-                          "epoch=" + std::to_string(epoch) + " jobs=" +
-                              std::to_string(state->jobs.size()) +
+                          "epoch=" + std::to_string(epoch) +
+                              " jobs=" + std::to_string(state->jobs.size()) +
                               " took_ms=" + std::to_string(boottime_now() - began_at));
         handle(scheduler::guarantees_changed{accounts});
         const auto records = std::move(loaded_registry);
@@ -325,8 +323,7 @@
         request.records = batch;
         request.writer = platform::writer_position{epoch, sequence};
         request.timeout_ms = store_timeout_ms;
-        context.store.append(request,
-                             guarded([](impl& i, const platform::append_outcome& outcome) {
+        context.store.append(request, guarded([](impl& i, const platform::append_outcome& outcome) {
                                  i.batch_done(outcome);
                              }));
     }
@@ -339,8 +336,7 @@
             return;
         case platform::store_status::fenced: depose("store_fenced"); return;
         case platform::store_status::out_of_sequence:
-            context.log.write("store_sequence", "sent=" + std::to_string(sequence) +
-                                                    " expected=" +
+            context.log.write("store_sequence", "sent=" + std::to_string(sequence) + " expected=" +
                                                     std::to_string(outcome.expected_sequence));
             sequence = outcome.expected_sequence;
             later(store_retry_ms, [](impl& i) { i.store_batch(); });
@@ -403,9 +399,8 @@
     }
 };
 
-leader::leader(const leader_context& context, std::uint64_t epoch,
-               scheduler::predecessor earlier, scheduler::guarantees accounts,
-               std::function<void()> on_deposed)
+leader::leader(const leader_context& context, std::uint64_t epoch, scheduler::predecessor earlier,
+               scheduler::guarantees accounts, std::function<void()> on_deposed)
     : impl_(std::make_shared<impl>(context)) {
     impl_->epoch = epoch;
     impl_->earlier = earlier;
@@ -454,8 +449,7 @@
             }
             if (!alive->look_up(job).known) {
                 alive->context.log.write(
-                    "job_unknown", "request=" + job +
-                                       " read_to=" + std::to_string(outcome.end) +
+                    "job_unknown", "request=" + job + " read_to=" + std::to_string(outcome.end) +
                                        " known_jobs=" + std::to_string(alive->state->jobs.size()));
             }
             done(alive->look_up(job));
--- a/libs/node/src/leader.h
+++ b/libs/node/src/leader.h
@@ -44,8 +44,7 @@
      * Precondition: `epoch` is above that of every earlier term.
      */
     leader(const leader_context& context, std::uint64_t epoch, scheduler::predecessor earlier,
-           scheduler::guarantees accounts,
-           std::function<void()> on_deposed);
+           scheduler::guarantees accounts, std::function<void()> on_deposed);
     ~leader();
     leader(const leader&) = delete;
     leader& operator=(const leader&) = delete;
--- a/libs/node/src/leadership.cpp
+++ b/libs/node/src/leadership.cpp
@@ -16,8 +16,9 @@
 }
 
 time_ms lease_for(const leadership_state& state) {
-    return std::clamp(shortest_lease_ms + lease_answers * state.slowest_answer_ms,
-                      shortest_lease_ms, longest_lease_ms);
+    const time_ms shortest = is_leader(state) ? shortest_lease_ms : first_lease_ms;
+    return std::clamp(shortest + lease_answers * state.slowest_answer_ms, shortest,
+                      longest_lease_ms);
 }
 
 void observe_answer(leadership_state& state, time_ms took_ms) {
@@ -27,9 +28,8 @@
 lease_write begin_write(leadership_state& state, time_ms now_ms, bool released) {
     state.write_sent_at_ms = now_ms;
     ++state.writes;
-    state.open_write = lease_record{state.name,  state.address, state.incarnation,
-                                    state.epoch, state.writes,  released,
-                                    lease_for(state)};
+    state.open_write = lease_record{state.name,   state.address, state.incarnation, state.epoch,
+                                    state.writes, released,      lease_for(state)};
     return {*state.open_write, state.log_end};
 }
 
@@ -76,13 +76,11 @@
     }
     try {
         const json& j = parsed.value();
-        return lease_record{j.at("name").get<std::string>(),
-                            j.at("address").get<std::string>(),
-                            j.at("incarnation").get<std::uint64_t>(),
-                            j.at("epoch").get<std::uint64_t>(),
-                            j.at("write").get<std::uint64_t>(),
-                            j.at("released").get<bool>(),
-                            j.at("lease_ms").get<time_ms>()};
+        return lease_record{
+            j.at("name").get<std::string>(),          j.at("address").get<std::string>(),
+            j.at("incarnation").get<std::uint64_t>(), j.at("epoch").get<std::uint64_t>(),
+            j.at("write").get<std::uint64_t>(),       j.at("released").get<bool>(),
+            j.at("lease_ms").get<time_ms>()};
     } catch (const json::exception& e) {
         return error{error_kind::malformed_data, std::string("lease record: ") + e.what(),
                      "let all entry hosts run the same release"};
@@ -152,8 +150,7 @@
     }
 }
 
-std::optional<lease_write> due_write(leadership_state& state, time_ms now_ms,
-                                     time_ms jitter_ms) {
+std::optional<lease_write> due_write(leadership_state& state, time_ms now_ms, time_ms jitter_ms) {
     if (!state.loaded || state.open_write) {
         return std::nullopt;
     }
@@ -170,9 +167,9 @@
         }
         return begin_write(state, now_ms, false);
     }
-    state.predecessor_ended = !state.newest || state.newest->released ||
-                              (state.newest->name == state.name &&
-                               state.newest->incarnation != state.incarnation);
+    state.predecessor_ended =
+        !state.newest || state.newest->released ||
+        (state.newest->name == state.name && state.newest->incarnation != state.incarnation);
     if (state.readable_since_ms == 0 || !vacant(state, now_ms, jitter_ms)) {
         return std::nullopt;
     }
--- a/libs/node/src/leadership.h
+++ b/libs/node/src/leadership.h
@@ -12,6 +12,8 @@
 
 /** Shortest lease; three renewals at a store that answers in milliseconds. */
 inline constexpr time_ms shortest_lease_ms = 700;
+/** First lease of a term: the host is busy reading the state back meanwhile. */
+inline constexpr time_ms first_lease_ms = 1500;
 /** Longest lease, for a store that is slow. */
 inline constexpr time_ms longest_lease_ms = 3000;
 inline constexpr time_ms leader_renewal_ms = 220;
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -77,7 +77,8 @@
     try {
         root = YAML::Load(std::string(yaml));
     } catch (const YAML::Exception& e) {
-        return error{error_kind::malformed_data, std::string("the settings are not YAML: ") + e.what(),
+        return error{error_kind::malformed_data,
+                     std::string("the settings are not YAML: ") + e.what(),
                      "correct the file at the place named"};
     }
     if (!root.IsMap()) {
--- a/libs/node/src/peers.cpp
+++ b/libs/node/src/peers.cpp
@@ -120,12 +120,12 @@
         call.address = m->address;
         call.target = std::string(view_path) + "?known=" + std::to_string(context.known_version());
         call.timeout_ms = view_timeout_ms;
-        context.http.send(call, [self = weak_from_this(), address = m->address,
-                                 now](const http_answer& answer) {
-            if (const auto alive = self.lock()) {
-                alive->view_answered(address, answer, now);
-            }
-        });
+        context.http.send(
+            call, [self = weak_from_this(), address = m->address, now](const http_answer& answer) {
+                if (const auto alive = self.lock()) {
+                    alive->view_answered(address, answer, now);
+                }
+            });
     }
 
     void view_answered(const std::string& address, const http_answer& answer, time_ms sent_at) {
--- a/libs/node/src/peers.h
+++ b/libs/node/src/peers.h
@@ -58,7 +58,8 @@
     /** Adds a host that registered itself. */
     void add_member(const std::string& address);
 
-    /** Asks a peer for its view, if one isn't asked already. Call while the store is out of reach. */
+    /** Asks a peer for its view, if one isn't asked already. Call while the store is out of reach.
+     */
     void refresh_view();
 
     /** Has a peer append a submission. Reports as the store would. */
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -18,7 +18,8 @@
     follower_options options;
     bool stopped = false;
     bool loaded = false;
-    /** The last read failed; the next one doesn't wait, so that it shows the store's return soon. */
+    /** The last read failed; the next one doesn't wait, so that it shows the store's return soon.
+     */
     bool failing = false;
     std::uint64_t next = 0;
     std::uint64_t first_end = 0;
@@ -61,8 +62,8 @@
     }
 
     /**
-     * Pages are no snapshot: a key that is written again while they are read can be missing from all
-     * of them. So the end of the log is asked for first, and everything after it is read again.
+     * Pages are no snapshot: a key that is written again while they are read can be missing from
+     * all of them. So the end of the log is asked for first, and everything after it is read again.
      */
     void load() {
         page_records.clear();
--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -37,8 +37,8 @@
     std::string job;
     job_state state = job_state::queued;
 };
-using deferred_action = std::variant<deferred_start, deferred_observation, deferred_cancel_answer,
-                                     deferred_visibility>;
+using deferred_action =
+    std::variant<deferred_start, deferred_observation, deferred_cancel_answer, deferred_visibility>;
 
 /**
  * Everything that the leader knows: jobs, workers and what is being stored.
@@ -63,6 +63,8 @@
     /** Something changed that may let a task be placed. */
     bool plan_needed = false;
     time_ms planned_at_ms = 0;
+    time_ms inspected_at_ms = 0;
+    time_ms repeated_at_ms = 0;
 };
 
 /** Progress of one job as an earlier leader stored it. */
--- a/libs/scheduler/include/scheduler/event.h
+++ b/libs/scheduler/include/scheduler/event.h
@@ -38,13 +38,13 @@
 };
 
 enum class order_failure {
-    no_answer,     // may still be carried out
-    fenced,        // a newer leader exists
-    superseded,    // the worker knows a later or ended run
-    expired,       // the start came after its deadline
-    no_room,       // the worker has no room
-    other_life,    // another incarnation answered
-    rejected,      // refused, nothing was done
+    no_answer,  // may still be carried out
+    fenced,     // a newer leader exists
+    superseded, // the worker knows a later or ended run
+    expired,    // the start came after its deadline
+    no_room,    // the worker has no room
+    other_life, // another incarnation answered
+    rejected,   // refused, nothing was done
 };
 
 struct poll_failed {
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -151,11 +151,10 @@
     for (const auto& s : spec.steps) {
         steps.push_back(encode_step(s));
     }
-    return pack(json::array({layout_version, spec.account, spec.queue, spec.pool, spec.payload,
-                             spec.priority, spec.max_attempts, spec.slack_factor,
-                             spec.latency_objective_ms, spec.accepted_wall_ms, std::move(steps),
-                             spec.repeat_count, spec.first_start_wall_ms,
-                             spec.repeat_interval_ms}));
+    return pack(json::array(
+        {layout_version, spec.account, spec.queue, spec.pool, spec.payload, spec.priority,
+         spec.max_attempts, spec.slack_factor, spec.latency_objective_ms, spec.accepted_wall_ms,
+         std::move(steps), spec.repeat_count, spec.first_start_wall_ms, spec.repeat_interval_ms}));
 }
 
 result<job_spec> decode_job_spec(std::string_view data) {
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -13,6 +13,8 @@
 
 /** Longest time without a plan while work waits, as waiting changes what may be done. */
 constexpr time_ms replan_interval_ms = 250;
+/** Interval in which every task and every job is looked at. */
+constexpr time_ms inspection_interval_ms = 100;
 /** Time that a leaving worker often stays longer than it said, and error of the forecast. */
 constexpr time_ms evacuation_margin_ms = 500;
 /** A task whose progress doesn't change for this long stands still, whatever its estimate says. */
@@ -30,9 +32,8 @@
     job& j = *added;
     r.state.jobs.emplace(spec.id, std::move(added));
     note(r, "job_known",
-         "request=" + spec.id + " account=" + spec.account + " queue=" + spec.queue +
-             " priority=" + std::to_string(spec.priority) +
-             " steps=" + std::to_string(spec.steps.size()) +
+         "request=" + spec.id + " account=" + spec.account + " queue=" + spec.queue + " priority=" +
+             std::to_string(spec.priority) + " steps=" + std::to_string(spec.steps.size()) +
              " age_ms=" + std::to_string(r.now.wall_ms - spec.accepted_wall_ms));
     open_due_occurrences(r, j);
     r.state.plan_needed = true;
@@ -61,8 +62,7 @@
     } else if (const auto* seen = std::get_if<deferred_observation>(&action)) {
         const auto found = r.state.workers.find(seen->where.id);
         if (found != r.state.workers.end() && found->second.report.life == seen->where) {
-            found->second.stored_sequence =
-                std::max(found->second.stored_sequence, seen->sequence);
+            found->second.stored_sequence = std::max(found->second.stored_sequence, seen->sequence);
         }
     } else if (const auto* answer = std::get_if<deferred_cancel_answer>(&action)) {
         r.out.emplace_back(answer_cancel{answer->request, true});
@@ -123,8 +123,7 @@
         const task_place place = find_task(r.state, p.task);
         std::uint32_t run = next_run(r.state, p.task);
         if (place.spec->gang) {
-            const auto key =
-                std::pair(p.task.job, std::pair(p.task.occurrence, p.task.step));
+            const auto key = std::pair(p.task.job, std::pair(p.task.occurrence, p.task.step));
             run = runs.try_emplace(key, run).first->second;
         }
         assign_task(r, p.task, p.where, run);
@@ -137,19 +136,47 @@
     }
 }
 
+/** Returns the assigned tasks of a worker that `choose` picks, so that acting on them is safe. */
+template <class Choose>
+std::vector<task_id> pick_assigned(reduction& r, const worker& w, const Choose& choose) {
+    std::vector<task_id> picked;
+    for (const auto& id : w.assigned) {
+        const task_place place = find_task(r.state, id);
+        if (place && place.item->phase == task_phase::running && !place.spec->long_running &&
+            choose(*place.item)) {
+            picked.push_back(id);
+        }
+    }
+    return picked;
+}
+
+/**
+ * Stops tasks that stand still, so that they start elsewhere.
+ *
+ * Load it answers: workers that accept tasks, keep their lease, and do no work.
+ */
 void stop_stalled_tasks(reduction& r) {
+    const time_ms now = r.now.monotonic_ms;
     for (auto& [id, w] : r.state.workers) {
-        const auto assigned = w.assigned;
-        for (const auto& task_name : assigned) {
-            const task_place place = find_task(r.state, task_name);
-            if (!place || place.item->phase != task_phase::running || place.spec->long_running ||
-                r.now.monotonic_ms - place.item->progressed_at_ms < stall_limit_ms ||
-                w.failed_polls > 0 || w.answered_at_ms < place.item->progressed_at_ms) {
-                continue;
+        if (w.failed_polls > 0) {
+            continue;
+        }
+        const auto stalled = pick_assigned(r, w, [&](const task& t) {
+            return now - t.progressed_at_ms >= stall_limit_ms &&
+                   w.answered_at_ms >= t.progressed_at_ms;
+        });
+        for (const auto& name : stalled) {
+            const task_place place = find_task(r.state, name);
+            if (place.item->phase != task_phase::running) {
+                continue; // stopped with its gang
             }
+            note(r, "task_stalled",
+                 describe_task(name, place.item->run) + " worker=" + id +
+                     " percent=" + std::to_string(place.item->percent) +
+                     " still_for_ms=" + std::to_string(now - place.item->progressed_at_ms));
             place.item->failed_on = id;
-            w.quarantined_until_ms = r.now.monotonic_ms + stall_quarantine_ms;
-            stop_task(r, task_name, place, "stalled");
+            w.quarantined_until_ms = now + stall_quarantine_ms;
+            stop_task(r, name, place, "stalled");
         }
     }
 }
@@ -168,8 +195,8 @@
 /**
  * Moves tasks off workers that leave before the tasks could end.
  *
- * Load it answers: workers that are emptied and taken away under long tasks; what can't end there is
- * lost in any case, and starts elsewhere the sooner it is stopped.
+ * Load it answers: workers that are emptied and taken away under long tasks; what can't end there
+ * is lost in any case, and starts elsewhere the sooner it is stopped.
  */
 void evacuate_leaving_workers(reduction& r) {
     for (auto& [id, w] : r.state.workers) {
@@ -177,26 +204,27 @@
             continue;
         }
         const time_ms left = w.leaves_at_ms - r.now.monotonic_ms;
-        const auto assigned = w.assigned;
-        for (const auto& task_name : assigned) {
-            const task_place place = find_task(r.state, task_name);
-            if (!place || place.item->phase != task_phase::running || place.spec->long_running) {
-                continue;
-            }
-            const time_ms needed = remaining_run_ms(*place.item, r.now.monotonic_ms);
-            if (needed > left + evacuation_margin_ms) {
-                stop_task(r, task_name, place, "worker_leaves");
+        const auto doomed = pick_assigned(r, w, [&](const task& t) {
+            return remaining_run_ms(t, r.now.monotonic_ms) > left + evacuation_margin_ms;
+        });
+        for (const auto& name : doomed) {
+            const task_place place = find_task(r.state, name);
+            if (place.item->phase == task_phase::running) {
+                stop_task(r, name, place, "worker_leaves");
             }
         }
     }
 }
 
 void advance(reduction& r) {
-    for (auto& [id, j] : r.state.jobs) {
-        open_due_occurrences(r, *j);
+    if (r.now.monotonic_ms - r.state.inspected_at_ms >= inspection_interval_ms) {
+        r.state.inspected_at_ms = r.now.monotonic_ms;
+        for (auto& [id, j] : r.state.jobs) {
+            open_due_occurrences(r, *j);
+        }
+        stop_stalled_tasks(r);
+        evacuate_leaving_workers(r);
     }
-    stop_stalled_tasks(r);
-    evacuate_leaving_workers(r);
     maintain_workers(r);
     if (r.now.monotonic_ms - r.state.planned_at_ms >= replan_interval_ms) {
         r.state.plan_needed = true;
@@ -244,8 +272,7 @@
     coordinator_state state;
     state.limits = limits;
     const time_ms renewed_until =
-        now.monotonic_ms +
-        (earlier == predecessor::ended ? 0 : limits.predecessor_grace_ms);
+        now.monotonic_ms + (earlier == predecessor::ended ? 0 : limits.predecessor_grace_ms);
     const time_ms horizon = longest_lease_end(limits, renewed_until);
     for (auto& stored_one : jobs) {
         auto j = std::make_unique<job>();
--- a/libs/scheduler/src/job.cpp
+++ b/libs/scheduler/src/job.cpp
@@ -47,9 +47,9 @@
         return job_state::failed;
     }
     const std::size_t expected = std::max<std::size_t>(j.spec.repeat_count, 1);
-    const bool all = j.occurrences.size() == expected &&
-                     std::all_of(j.occurrences.begin(), j.occurrences.end(),
-                                 [](const auto& o) { return o.complete(); });
+    const bool all =
+        j.occurrences.size() == expected && std::all_of(j.occurrences.begin(), j.occurrences.end(),
+                                                        [](const auto& o) { return o.complete(); });
     if (all) {
         return job_state::completed;
     }
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -138,8 +138,7 @@
 
 std::string describe_task(const task_id& id, std::uint32_t run) {
     return "request=" + id.job + " task=" + std::to_string(id.occurrence) + "." +
-           std::to_string(id.step) + "." + std::to_string(id.index) +
-           " run=" + std::to_string(run);
+           std::to_string(id.step) + "." + std::to_string(id.index) + " run=" + std::to_string(run);
 }
 
 void touch(reduction& r, const job& j) {
@@ -239,9 +238,9 @@
 void end_job(reduction& r, job& j) {
     j.ended_at_ms = r.now.monotonic_ms;
     const job_state state = derive_state(j);
-    note(r, "job_ended", "request=" + j.spec.id + " state=" + std::string(name_of(state)) +
-                             " age_ms=" +
-                             std::to_string(r.now.monotonic_ms - j.accepted_at_ms));
+    note(r, "job_ended",
+         "request=" + j.spec.id + " state=" + std::string(name_of(state)) +
+             " age_ms=" + std::to_string(r.now.monotonic_ms - j.accepted_at_ms));
     touch(r, j);
     r.state.waiting_for_store.emplace_back(deferred_visibility{j.spec.id, state});
     for_each_task(j, [&](const task_id& id, const task_place& place) {
--- a/libs/scheduler/src/planner.cpp
+++ b/libs/scheduler/src/planner.cpp
@@ -26,7 +26,10 @@
     coordinator_state& state;
     time_ms now_ms = 0;
     std::vector<worker_room> rooms;
-    std::vector<std::string> racks;
+    /** The last one stands for all racks together. */
+    std::vector<rack_rooms> racks;
+    /** What may be stopped for urgent units, worked out when the first one needs it. */
+    std::optional<victim_table> victims;
     bool mostly_idle = false;
     plan result;
 };
@@ -43,16 +46,8 @@
     return static_cast<double>(free) >= idle_share * static_cast<double>(total);
 }
 
-std::vector<std::string> collect_racks(const std::vector<worker_room>& rooms) {
-    std::set<std::string> names;
-    for (const auto& room : rooms) {
-        names.insert(room.host->report.rack);
-    }
-    return {names.begin(), names.end()};
-}
-
 placement_request make_request(const work_unit& unit) {
-    placement_request request{unit.owner, &unit.spec(), {}, {}, ""};
+    placement_request request{unit.owner, &unit.spec(), {}, {}};
     for (const auto& t : unit.in->steps[unit.step].tasks) {
         if (is_assigned(t.phase)) {
             ++request.already_there[t.where.id];
@@ -89,16 +84,19 @@
     return spec.gang && spec.same_rack && spec.task_count > 1;
 }
 
-/** Racks to try, in order; an empty name stands for all racks together. */
-std::vector<std::string> racks_to_try(const planning& p, const work_unit& unit) {
-    std::vector<std::string> racks;
-    if (!unit.spec().data_rack.empty()) {
-        racks.push_back(unit.spec().data_rack);
-    } else if (wants_one_rack(unit.spec())) {
-        racks = p.racks;
+/** Returns the racks to try, in order; the one without a name stands for all together. */
+std::vector<const rack_rooms*> racks_to_try(const planning& p, const work_unit& unit) {
+    std::vector<const rack_rooms*> racks;
+    const std::string& data_rack = unit.spec().data_rack;
+    for (const auto& rack : p.racks) {
+        const bool all = &rack == &p.racks.back();
+        if (!all &&
+            (rack.name == data_rack || (data_rack.empty() && wants_one_rack(unit.spec())))) {
+            racks.push_back(&rack);
+        }
     }
     if (racks.empty() || !insists_on_rack(p, unit)) {
-        racks.emplace_back();
+        racks.push_back(&p.racks.back());
     }
     return racks;
 }
@@ -115,26 +113,28 @@
 /** Places a whole gang into the rack that it fills best. */
 std::optional<std::vector<std::size_t>> place_gang(planning& p, const work_unit& unit,
                                                    placement_request& request, room_kind kind) {
-    std::optional<std::string> best_rack;
+    const rack_rooms* best_rack = nullptr;
     std::int64_t best_left = 0;
-    for (const auto& rack : racks_to_try(p, unit)) {
-        if (rack.empty() && best_rack) {
+    const resources need = booked(unit.spec());
+    for (const auto* rack : racks_to_try(p, unit)) {
+        if (rack == &p.racks.back() && best_rack != nullptr) {
             break;
         }
-        request.rack = rack;
-        const auto chosen = best_fit(p.rooms, request, unit.tasks.size(), kind);
+        if (!may_fit(p.rooms, *rack, need, unit.tasks.size(), kind)) {
+            continue;
+        }
+        const auto chosen = best_fit(p.rooms, *rack, request, unit.tasks.size(), kind);
         const std::int64_t left = leftover(p, chosen);
         unbook(p.rooms, request, chosen);
-        if (chosen.size() == unit.tasks.size() && (!best_rack || left < best_left)) {
+        if (chosen.size() == unit.tasks.size() && (best_rack == nullptr || left < best_left)) {
             best_rack = rack;
             best_left = left;
         }
     }
-    if (!best_rack) {
+    if (best_rack == nullptr) {
         return std::nullopt;
     }
-    request.rack = *best_rack;
-    return best_fit(p.rooms, request, unit.tasks.size(), kind);
+    return best_fit(p.rooms, *best_rack, request, unit.tasks.size(), kind);
 }
 
 /** Keeps room for the unit until what occupies it has stopped. */
@@ -147,41 +147,40 @@
     progress.reserved_until_ms = p.now_ms + reservation_ms;
 }
 
-/** Makes room for an urgent unit, in the first rack where that is possible at the least cost. */
-void preempt(planning& p, const work_unit& unit, placement_request& request) {
+/** Makes room for an urgent unit, in the rack where that is possible at the least cost. */
+void preempt(planning& p, const work_unit& unit, const placement_request& request) {
+    if (!p.victims) {
+        p.victims = collect_victims(p.state, p.rooms, unit.owner->spec.priority, p.now_ms);
+    }
     std::optional<preemption_choice> best;
-    std::vector<worker_room> best_rooms;
-    for (const auto& rack : racks_to_try(p, unit)) {
-        if (rack.empty() && best) {
+    for (const auto* rack : racks_to_try(p, unit)) {
+        if (rack == &p.racks.back() && best) {
             break;
         }
-        request.rack = rack;
-        auto rooms = p.rooms;
-        auto choice = choose_victims(p.state, rooms, unit, request, p.now_ms);
+        auto choice = choose_victims(p.state, p.rooms, *rack, *p.victims, unit, request);
         if (!choice.victims.empty() && (!best || choice.cost < best->cost)) {
             best = std::move(choice);
-            best_rooms = std::move(rooms);
         }
     }
     if (!best) {
         return;
     }
-    p.rooms = std::move(best_rooms);
+    p.rooms = std::move(best->rooms);
     if (unit.spec().gang) {
         reserve(p, unit, best->chosen);
     }
     for (const auto& id : best->victims) {
         p.result.preemptions.push_back({id, unit.owner->spec.id});
     }
+    remove_victims(*p.victims, best->victims);
 }
 
 /**
  * Books the room that was reserved for a unit earlier. Returns it if all of it is free now; a
  * reservation that can't be kept any more is dropped.
  */
-std::optional<std::vector<std::size_t>> claim_reservation(planning& p, const work_unit& unit,
-                                                          placement_request& request,
-                                                          bool& waiting) {
+std::optional<std::vector<std::size_t>>
+claim_reservation(planning& p, const work_unit& unit, placement_request& request, bool& waiting) {
     step_progress& progress = unit.in->steps[unit.step];
     waiting = false;
     const resources need = booked(unit.spec());
@@ -240,9 +239,8 @@
 
 void plan_tasks(planning& p, work_unit unit) {
     placement_request request = make_request(unit);
-    for (const auto& rack : racks_to_try(p, unit)) {
-        request.rack = rack;
-        const auto chosen = best_fit(p.rooms, request, unit.tasks.size(), room_kind::free);
+    for (const auto* rack : racks_to_try(p, unit)) {
+        const auto chosen = best_fit(p.rooms, *rack, request, unit.tasks.size(), room_kind::free);
         accept(p, unit, chosen);
         unit.tasks.erase(unit.tasks.begin(),
                          unit.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
@@ -250,7 +248,8 @@
     if (unit.owner->spec.priority != 0 || unit.tasks.empty()) {
         return;
     }
-    const auto soon = best_fit(p.rooms, request, unit.tasks.size(), room_kind::soon);
+    const auto soon =
+        best_fit(p.rooms, p.racks.back(), request, unit.tasks.size(), room_kind::soon);
     if (soon.size() < unit.tasks.size()) {
         unit.tasks.erase(unit.tasks.begin(),
                          unit.tasks.begin() + static_cast<std::ptrdiff_t>(soon.size()));
@@ -261,8 +260,8 @@
 } // namespace
 
 plan make_plan(coordinator_state& state, time_ms now_ms) {
-    planning p{state, now_ms, measure_rooms(state, now_ms), {}, false, {}};
-    p.racks = collect_racks(p.rooms);
+    planning p{state, now_ms, measure_rooms(state, now_ms), {}, {}, false, {}};
+    p.racks = group_by_rack(p.rooms);
     p.mostly_idle = is_mostly_idle(p.rooms);
     auto units = collect_units(state, now_ms);
     // Room that was made for a unit is booked before anything else can take it.
--- a/libs/scheduler/src/preemption.cpp
+++ b/libs/scheduler/src/preemption.cpp
@@ -16,12 +16,6 @@
 /** Fixed cost of stopping and starting a task again. */
 constexpr double restart_cost = 500;
 
-/** A run, or a whole gang, that can be stopped. */
-struct victim {
-    std::vector<task_id> members;
-    double cost = 0;
-};
-
 double loss_of(const task& t, const step_spec& spec, time_ms now_ms) {
     time_ms lost = std::max<time_ms>(0, now_ms - t.started_at_ms);
     if (spec.checkpoints) {
@@ -32,18 +26,19 @@
     return cores * static_cast<double>(lost) / accelerator_cores + restart_cost;
 }
 
-bool may_yield(const job& owner, const step_spec& spec, const work_unit& unit) {
-    return owner.spec.priority > unit.owner->spec.priority && !spec.long_running;
+bool may_yield(const job& owner, const step_spec& spec, int priority) {
+    return owner.spec.priority > priority && !spec.long_running;
 }
 
 bool stoppable(task_phase phase) {
     return phase == task_phase::running || phase == task_phase::ordered;
 }
 
-std::optional<victim> make_victim(coordinator_state& state, const task_id& id,
-                                  const work_unit& unit, time_ms now_ms) {
+std::optional<victim> make_victim(coordinator_state& state, const task_id& id, int priority,
+                                  time_ms now_ms) {
     const task_place place = find_task(state, id);
-    if (!place || !stoppable(place.item->phase) || !may_yield(*place.owner, *place.spec, unit)) {
+    if (!place || !stoppable(place.item->phase) ||
+        !may_yield(*place.owner, *place.spec, priority)) {
         return std::nullopt;
     }
     victim v;
@@ -62,27 +57,6 @@
     return v;
 }
 
-/** Victims per room, cheapest first. */
-using victim_table = std::vector<std::vector<victim>>;
-
-victim_table collect_victims(coordinator_state& state, const std::vector<worker_room>& rooms,
-                             const work_unit& unit, time_ms now_ms) {
-    victim_table table(rooms.size());
-    for (std::size_t i = 0; i < rooms.size(); ++i) {
-        if (!rooms[i].open) {
-            continue;
-        }
-        for (const auto& id : rooms[i].host->assigned) {
-            if (auto v = make_victim(state, id, unit, now_ms)) {
-                table[i].push_back(std::move(*v));
-            }
-        }
-        std::sort(table[i].begin(), table[i].end(),
-                  [](const victim& a, const victim& b) { return a.cost < b.cost; });
-    }
-    return table;
-}
-
 /** One way to make room; grows task by task. */
 struct attempt {
     std::vector<worker_room> rooms;
@@ -134,11 +108,12 @@
     a.cost += v.cost;
 }
 
-bool place_one(attempt& a, const victim_table& table, coordinator_state& state) {
+bool place_one(attempt& a, const rack_rooms& among, const victim_table& table,
+               coordinator_state& state) {
     std::size_t best = a.rooms.size();
     double best_cost = 0;
     std::vector<const victim*> best_victims;
-    for (std::size_t i = 0; i < a.rooms.size(); ++i) {
+    for (const std::size_t i : among.rooms) {
         if (!eligible(a.rooms[i], a.request)) {
             continue;
         }
@@ -166,18 +141,41 @@
 
 } // namespace
 
-preemption_choice choose_victims(coordinator_state& state, std::vector<worker_room>& rooms,
-                                 const work_unit& unit, const placement_request& request,
-                                 time_ms now_ms) {
-    const victim_table table = collect_victims(state, rooms, unit, now_ms);
-    attempt a{rooms, request, {}, {}, 0};
+victim_table collect_victims(coordinator_state& state, std::span<const worker_room> rooms,
+                             int priority, time_ms now_ms) {
+    victim_table table(rooms.size());
+    for (std::size_t i = 0; i < rooms.size(); ++i) {
+        if (!rooms[i].open) {
+            continue;
+        }
+        for (const auto& id : rooms[i].host->assigned) {
+            if (auto v = make_victim(state, id, priority, now_ms)) {
+                table[i].push_back(std::move(*v));
+            }
+        }
+        std::sort(table[i].begin(), table[i].end(),
+                  [](const victim& a, const victim& b) { return a.cost < b.cost; });
+    }
+    return table;
+}
+
+void remove_victims(victim_table& table, std::span<const task_id> stopped) {
+    const std::set<task_id> gone(stopped.begin(), stopped.end());
+    for (auto& victims : table) {
+        std::erase_if(victims, [&](const victim& v) { return gone.contains(v.members.front()); });
+    }
+}
+
+preemption_choice choose_victims(coordinator_state& state, std::span<const worker_room> rooms,
+                                 const rack_rooms& among, const victim_table& table,
+                                 const work_unit& unit, const placement_request& request) {
+    attempt a{{rooms.begin(), rooms.end()}, request, {}, {}, 0};
     for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
-        if (!place_one(a, table, state)) {
+        if (!place_one(a, among, table, state)) {
             return {};
         }
     }
-    rooms = std::move(a.rooms);
-    return {{a.stopped.begin(), a.stopped.end()}, std::move(a.chosen), a.cost};
+    return {{a.stopped.begin(), a.stopped.end()}, std::move(a.chosen), std::move(a.rooms), a.cost};
 }
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/rooms.cpp
+++ b/libs/scheduler/src/rooms.cpp
@@ -13,6 +13,10 @@
            w.quarantined_until_ms <= now_ms;
 }
 
+const resources& room_of(const worker_room& room, room_kind kind) {
+    return kind == room_kind::free ? room.free : room.soon;
+}
+
 bool better(const resources& left, const resources& best) {
     if (left.accelerators != best.accelerators) {
         return left.accelerators < best.accelerators;
@@ -53,9 +57,6 @@
     if (!room.open || room.host->report.pool != request.owner->spec.pool) {
         return false;
     }
-    if (!request.rack.empty() && room.host->report.rack != request.rack) {
-        return false;
-    }
     const std::string& label = request.spec->required_label;
     const auto& labels = room.host->report.labels;
     if (!label.empty() && std::find(labels.begin(), labels.end(), label) == labels.end()) {
@@ -73,21 +74,55 @@
            there->second < request.spec->max_tasks_per_worker;
 }
 
-std::vector<std::size_t> best_fit(std::span<worker_room> rooms, placement_request& request,
-                                  std::size_t count, room_kind kind) {
+std::vector<rack_rooms> group_by_rack(std::span<const worker_room> rooms) {
+    std::map<std::string, rack_rooms> racks;
+    rack_rooms all;
+    for (std::size_t i = 0; i < rooms.size(); ++i) {
+        const std::string& name = rooms[i].host->report.rack;
+        racks[name].name = name;
+        racks[name].rooms.push_back(i);
+        all.rooms.push_back(i);
+    }
+    std::vector<rack_rooms> groups;
+    for (auto& [name, rack] : racks) {
+        groups.push_back(std::move(rack));
+    }
+    groups.push_back(std::move(all));
+    return groups;
+}
+
+bool may_fit(std::span<const worker_room> rooms, const rack_rooms& among, const resources& need,
+             std::size_t count, room_kind kind) {
+    std::size_t tasks = 0;
+    for (const std::size_t i : among.rooms) {
+        const resources& room = room_of(rooms[i], kind);
+        if (rooms[i].open && fits(need, room)) {
+            tasks += need.accelerators == 0
+                         ? count
+                         : static_cast<std::size_t>(room.accelerators / need.accelerators);
+        }
+        if (tasks >= count) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<std::size_t> best_fit(std::span<worker_room> rooms, const rack_rooms& among,
+                                  placement_request& request, std::size_t count, room_kind kind) {
     const resources need = booked(*request.spec);
     std::vector<std::size_t> chosen;
     while (chosen.size() < count) {
         std::size_t best = rooms.size();
         resources best_left;
-        for (std::size_t i = 0; i < rooms.size(); ++i) {
-            const resources& room = kind == room_kind::free ? rooms[i].free : rooms[i].soon;
-            if (!fits(need, room) || !eligible(rooms[i], request)) {
+        for (const std::size_t i : among.rooms) {
+            const resources& room = room_of(rooms[i], kind);
+            if (!fits(need, room)) {
                 continue;
             }
             resources left = room;
             left -= need;
-            if (best == rooms.size() || better(left, best_left)) {
+            if ((best == rooms.size() || better(left, best_left)) && eligible(rooms[i], request)) {
                 best = i;
                 best_left = left;
             }
--- a/libs/scheduler/src/worker_links.cpp
+++ b/libs/scheduler/src/worker_links.cpp
@@ -1,6 +1,7 @@
 #include "worker_links.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace fulmarworks::scheduler {
 
@@ -14,8 +15,8 @@
 constexpr time_ms clock_tolerance_divisor = 40;
 /** Pause after a failed poll, so that an unreachable worker isn't hammered. */
 constexpr time_ms failed_poll_pause_ms = 300;
-/** Lease that a poll grants: longer than a change of the leader with a restart of all hosts, shorter
- * than what callers wait for work on a lost worker to move. */
+/** Lease that a poll grants: longer than a change of the leader with a restart of all hosts,
+ * shorter than what callers wait for work on a lost worker to move. */
 constexpr time_ms granted_lease_ms = 4000;
 /** What may be left of a lease when a silent worker's entry is removed: the registry waits three
  * heartbeats of 1.5 s, of which one may have passed before the worker was cut off. */
@@ -24,6 +25,8 @@
 constexpr time_ms lease_margin_ms = 100;
 /** An order without an answer is sent again after this. */
 constexpr time_ms repeat_order_ms = 400;
+/** Interval in which unanswered orders are looked for. */
+constexpr time_ms repeat_interval_ms = 100;
 /** Starts sent before the worker's own lists decide. */
 constexpr std::uint32_t max_start_attempts = 3;
 /** A worker that refuses for want of room or health gets nothing new for this long. */
@@ -128,13 +131,11 @@
         const resources need = place ? booked(*place.spec) : w.report.capacity;
         w.strays.push_back({run.task, run.run, need, 0});
         found = std::prev(w.strays.end());
-        note(r, "stray_run",
-             describe_task(run.task, run.run) + " worker=" + w.report.life.id);
+        note(r, "stray_run", describe_task(run.task, run.run) + " worker=" + w.report.life.id);
     }
     if (r.now.monotonic_ms - found->stop_sent_at_ms >= repeat_order_ms) {
         found->stop_sent_at_ms = r.now.monotonic_ms;
-        r.out.emplace_back(
-            send_stop{w.report.life, w.report.address, run.task, run.run});
+        r.out.emplace_back(send_stop{w.report.life, w.report.address, run.task, run.run});
     }
 }
 
@@ -144,9 +145,7 @@
     task& t = *place.item;
     const bool after_order = answer.sent_at_ms > t.ordered_at_ms;
     switch (t.phase) {
-    case task_phase::unsettled:
-        release_task(r, id, place, "unknown_to_worker");
-        return;
+    case task_phase::unsettled: release_task(r, id, place, "unknown_to_worker"); return;
     case task_phase::running:
         if (answer.sent_at_ms > t.confirmed_at_ms) {
             release_task(r, id, place, "vanished");
@@ -184,10 +183,12 @@
             keep_stray(r, w, run);
         }
     }
-    const auto assigned = w.assigned;
-    for (const auto& id : assigned) {
+    std::vector<task_id> unlisted;
+    std::set_difference(w.assigned.begin(), w.assigned.end(), listed.begin(), listed.end(),
+                        std::back_inserter(unlisted));
+    for (const auto& id : unlisted) {
         const task_place place = find_task(r.state, id);
-        if (place && !listed.contains(id) && is_assigned(place.item->phase)) {
+        if (place && is_assigned(place.item->phase)) {
             settle_unlisted(r, id, place, answer);
         }
     }
@@ -230,25 +231,29 @@
 
 void repeat_orders(reduction& r, worker& w) {
     const time_ms now = r.now.monotonic_ms;
-    const auto assigned = w.assigned;
-    for (const auto& id : assigned) {
+    std::vector<task_id> unanswered;
+    for (const auto& id : w.assigned) {
         const task_place place = find_task(r.state, id);
-        if (!place || now - place.item->ordered_at_ms < repeat_order_ms) {
-            continue;
+        if (place && now - place.item->ordered_at_ms >= repeat_order_ms &&
+            (place.item->phase == task_phase::stopping ||
+             place.item->phase == task_phase::ordered)) {
+            unanswered.push_back(id);
         }
+    }
+    for (const auto& id : unanswered) {
+        const task_place place = find_task(r.state, id);
         if (place.item->phase == task_phase::stopping) {
             stop_task(r, id, place, "repeat");
-        } else if (place.item->phase == task_phase::ordered && w.failed_polls == 0 &&
-                   place.item->order_attempts < max_start_attempts) {
+        } else if (w.failed_polls == 0 && place.item->order_attempts < max_start_attempts) {
             order_start(r, id, place);
         }
     }
 }
 
 /**
- * Returns whether a worker that doesn't answer is gone for good. One that announced its end and left
- * the registry has ended. Any other leaves it after three heartbeats of silence, so that its lease,
- * which nobody could renew since, has run out soon after that.
+ * Returns whether a worker that doesn't answer is gone for good. One that announced its end and
+ * left the registry has ended. Any other leaves it after three heartbeats of silence, so that its
+ * lease, which nobody could renew since, has run out soon after that.
  */
 bool has_left(const worker& w, time_ms now_ms) {
     const bool unreachable = w.failed_polls > 0 || w.report.address.empty();
@@ -265,8 +270,8 @@
     if (reachable || w.assigned.empty() || !over) {
         return;
     }
-    note(r, "worker_lost", "worker=" + w.report.life.id + " failed_polls=" +
-                               std::to_string(w.failed_polls));
+    note(r, "worker_lost",
+         "worker=" + w.report.life.id + " failed_polls=" + std::to_string(w.failed_polls));
     w.verified = false;
     release_all(r, w, "lease_expired");
 }
@@ -291,8 +296,8 @@
         w.verified = false;
     }
     if (!w.listed || was_draining != report.draining) {
-        note(r, "worker_listed", "worker=" + report.life.id + " draining=" +
-                                     std::to_string(report.draining ? 1 : 0));
+        note(r, "worker_listed",
+             "worker=" + report.life.id + " draining=" + std::to_string(report.draining ? 1 : 0));
         r.state.plan_needed = true;
     }
     w.listed = true;
@@ -403,9 +408,15 @@
 }
 
 void maintain_workers(reduction& r) {
+    const bool repeat = r.now.monotonic_ms - r.state.repeated_at_ms >= repeat_interval_ms;
+    if (repeat) {
+        r.state.repeated_at_ms = r.now.monotonic_ms;
+    }
     for (auto& [id, w] : r.state.workers) {
         expire_lease(r, w);
-        repeat_orders(r, w);
+        if (repeat) {
+            repeat_orders(r, w);
+        }
         if (poll_due(w, r.now.monotonic_ms)) {
             poll(r, w);
         }
--- a/libs/service/src/api_router.h
+++ b/libs/service/src/api_router.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "adapters/worker_client.h"
 #include "http/http_server.h"
 #include "instance/reduce.h"
-#include "adapters/worker_client.h"
 
 #include <functional>
 
--- a/libs/service/src/instance_service.cpp
+++ b/libs/service/src/instance_service.cpp
@@ -1,10 +1,10 @@
 #include "service/instance_service.h"
 
+#include "adapters/log_client.h"
+#include "adapters/peer_link.h"
 #include "api_router.h"
 #include "base/log_line.h"
 #include "http/http_client.h"
-#include "adapters/log_client.h"
-#include "adapters/peer_link.h"
 #include "service/metrics.h"
 
 namespace fulmarworks {
