First polls of a term renew leases; strong hosts lead

Cause: after a take-over on the grown sites 200 tasks lapsed in one second: they were just started with a lease of 1.5 s, and the new leader, on a machine of 0.12 cores, could renew only after a worker's first answer had told its clock. Change: a start grants 3 s; the registry's reading of a worker's clock serves until it answers, so the first poll of a term renews; hosts register their share of a core and weak ones wait longer for a vacant lease.

--- a/libs/node/include/node/node_settings.h
+++ b/libs/node/include/node/node_settings.h
@@ -22,6 +22,8 @@
     std::uint16_t internal_port = 7000;
     /** IP:PORT of the platform's store. */
     std::string store_address;
+    /** Share of a core that this host has. */
+    double cpu_share = 1;
     /** Time between SIGTERM and SIGKILL. */
     time_ms stop_grace_ms = 6000;
     /** Time within which a configuration must be in force. */
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -24,6 +24,8 @@
 constexpr time_ms lease_write_timeout_ms = 600;
 /** Spread of candidates for a vacant lease. */
 constexpr time_ms largest_jitter_ms = 120;
+/** Wait of a host without any processor of its own; the leader's work needs a strong one. */
+constexpr time_ms weakest_wait_ms = 400;
 /** Part of the configuration bound that is left for the way of a request. */
 constexpr time_ms configuration_margin_ms = 150;
 /** Time for which a stopping host still takes connections, until its balancer has noticed. */
@@ -193,18 +195,32 @@
         options.pause_ms = member_interval_ms;
         options.on_snapshot = [this](const auto& records) {
             for (const auto& record : records) {
-                others->add_member(record.key);
+                member_read(record);
             }
         };
-        options.on_record = [this](const auto& record) { others->add_member(record.key); };
+        options.on_record = [this](const auto& record) { member_read(record); };
         members = std::make_unique<topic_follower>(loop, store, std::move(options));
     }
 
-    /** Writes this host's address down, so that others can find it. */
+    void member_read(const platform::logged_record& record) {
+        others->add_member(record.key, std::strtod(record.value.c_str(), nullptr));
+    }
+
+    /** Returns how much longer this host waits for a vacant lease than the strongest one. */
+    time_ms weakness_ms() const {
+        const double strongest = others->largest_cpu_share();
+        if (strongest <= settings.cpu_share) {
+            return 0;
+        }
+        return static_cast<time_ms>((strongest - settings.cpu_share) / strongest *
+                                    static_cast<double>(weakest_wait_ms));
+    }
+
+    /** Writes this host's address and strength down, so that others can find it. */
     void register_member() {
         platform::append_request request;
         request.where = platform::topic::members;
-        request.records = {{settings.internal_address(), settings.name}};
+        request.records = {{settings.internal_address(), std::to_string(settings.cpu_share)}};
         store.append(request, [self = weak_from_this()](const platform::append_outcome& outcome) {
             const auto alive = self.lock();
             if (alive && outcome.status != platform::store_status::ok) {
@@ -316,7 +332,7 @@
     void write_lease() {
         const time_ms jitter =
             static_cast<time_ms>(random() % static_cast<std::uint64_t>(largest_jitter_ms));
-        const auto due = due_write(leadership, boottime_now(), jitter);
+        const auto due = due_write(leadership, boottime_now(), jitter + weakness_ms());
         if (!due) {
             return;
         }
--- a/libs/node/src/peers.cpp
+++ b/libs/node/src/peers.cpp
@@ -79,6 +79,7 @@
 
     peer_context context;
     std::vector<member> members;
+    double largest_cpu_share = 0;
     std::size_t next = 0;
     bool asking = false;
     time_ms asked_at = 0;
@@ -172,7 +173,12 @@
 
 peers::~peers() = default;
 
-void peers::add_member(const std::string& address) {
+double peers::largest_cpu_share() const {
+    return impl_->largest_cpu_share;
+}
+
+void peers::add_member(const std::string& address, double cpu_share) {
+    impl_->largest_cpu_share = std::max(impl_->largest_cpu_share, cpu_share);
     const bool known = std::any_of(impl_->members.begin(), impl_->members.end(),
                                    [&](const auto& m) { return m.address == address; });
     if (!known && address != impl_->context.own_address && parse_address(address)) {
--- a/libs/node/src/peers.h
+++ b/libs/node/src/peers.h
@@ -55,8 +55,11 @@
     peers(const peers&) = delete;
     peers& operator=(const peers&) = delete;
 
-    /** Adds a host that registered itself. */
-    void add_member(const std::string& address);
+    /** Adds a host that registered itself with its share of a core. */
+    void add_member(const std::string& address, double cpu_share);
+
+    /** Returns the largest share of a core that any host registered; 0 without any. */
+    [[nodiscard]] double largest_cpu_share() const;
 
     /** Asks a peer for its view, if one isn't asked already. Call while the store is out of reach.
      */
--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -21,6 +21,8 @@
     bool draining = false;
     /** Least time that a draining worker still runs. */
     time_ms remaining_ms = 0;
+    /** Reading of the worker's clock when it wrote the entry, seconds ago at most; 0 if unknown. */
+    time_ms clock_ms = 0;
 };
 
 enum class end_reason { done, failed, stopped, lease_expired, gang_broken, gang_incomplete };
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/** A start that arrives later than this is refused by its worker; covers a slow connection. */
-constexpr time_ms start_validity_ms = 1500;
+/** A start that arrives later than this is refused by its worker. It is also the first lease of a
+ * worker that was idle, so it covers a change of the leader until the new one has asked everywhere.
+ */
+constexpr time_ms start_validity_ms = 3000;
 /** Jobs whose runs failed on a worker, without one success between, before it is set aside. */
 constexpr std::size_t blame_limit = 2;
 /** Time for which a worker that fails its tasks gets no new ones. */
--- a/libs/scheduler/src/worker_links.cpp
+++ b/libs/scheduler/src/worker_links.cpp
@@ -54,6 +54,7 @@
     w.stored_sequence = 0;
     w.lease_ends_at_worker_ms = 0;
     w.lease_horizon_ms = 0;
+    w.clock_reference_ms = 0;
     w.blamed_by.clear();
     w.quarantined_until_ms = 0;
 }
@@ -198,7 +199,7 @@
     const time_ms now = r.now.monotonic_ms;
     const bool busy = !w.assigned.empty() || !w.strays.empty();
     // A worker that doesn't answer gets no longer lease, so that its work can move on.
-    const bool renew = busy && w.verified && w.failed_polls == 0;
+    const bool renew = busy && w.clock_reference_ms != 0 && w.failed_polls == 0;
     time_ms lease_end = 0;
     if (renew) {
         lease_end = worker_clock(w, now) + std::min(granted_lease_ms, r.state.limits.max_lease_ms) -
@@ -295,6 +296,10 @@
         begin_life(r, w, report.life.born_ms);
         w.verified = false;
     }
+    if (w.clock_reference_ms == 0) {
+        // The clock has gone on since, so leases end a little early; good enough until it answers.
+        set_clock_reference(w, report.clock_ms, r.now.monotonic_ms);
+    }
     if (!w.listed || was_draining != report.draining) {
         note(r, "worker_listed",
              "worker=" + report.life.id + " draining=" + std::to_string(report.draining ? 1 : 0));
