--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -157,7 +157,9 @@
  */
 void stop_stalled_tasks(reduction& r) {
     const time_ms now = r.now.monotonic_ms;
-    for (auto& [id, w] : r.state.workers) {
+    for (auto& entry : r.state.workers) {
+        const std::string& id = entry.first;
+        worker& w = entry.second;
         if (w.failed_polls > 0) {
             continue;
         }
@@ -199,7 +201,8 @@
  * is lost in any case, and starts elsewhere the sooner it is stopped.
  */
 void evacuate_leaving_workers(reduction& r) {
-    for (auto& [id, w] : r.state.workers) {
+    for (const auto& entry : r.state.workers) {
+        const worker& w = entry.second;
         if (!w.report.draining || !w.listed) {
             continue;
         }
