Split the largest files; one type for the terms of a queue

Change: progress_writer, lease_keeper and worker_upkeep are units of their own; queue_terms stands once. Behaviour is meant to be the same.

--- a/libs/gateway/include/gateway/configuration.h
+++ b/libs/gateway/include/gateway/configuration.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "scheduler/event.h"
+#include "scheduler/job_spec.h"
 
 #include <cstdint>
 #include <map>
@@ -15,12 +16,7 @@
     std::string name;
     std::string host;
     std::string path_prefix;
-    /** Pool of workers that run the queue's jobs. */
-    std::string pool;
-    int priority = 0;
-    std::uint32_t max_attempts = 1;
-    double slack_factor = 1;
-    time_ms latency_objective_ms = 0;
+    scheduler::queue_terms terms;
     /** Callers need no key. */
     bool is_public = false;
 };
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -156,11 +156,7 @@
         scheduler::job_spec& spec = decoded.value();
         spec.account = call.account;
         spec.queue = call.queue->name;
-        spec.pool = call.queue->pool;
-        spec.priority = call.queue->priority;
-        spec.max_attempts = call.queue->max_attempts;
-        spec.slack_factor = call.queue->slack_factor;
-        spec.latency_objective_ms = call.queue->latency_objective_ms;
+        spec.terms = call.queue->terms;
         spec.accepted_wall_ms = wall_now();
         auto open = std::make_shared<submission>();
         open->id = call.job;
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -2,14 +2,12 @@
 
 #include "caller_api.h"
 #include "leader.h"
-#include "leadership.h"
+#include "lease_keeper.h"
 #include "peers.h"
 #include "platform/documents.h"
 #include "platform/headers.h"
 #include "topic_follower.h"
 
-#include <random>
-
 namespace fulmarworks::node {
 
 namespace {
@@ -17,13 +15,8 @@
 constexpr time_ms tick_ms = 25;
 /** Wait of a read for the operator's documents; a third of the time to take a change over. */
 constexpr time_ms operator_wait_ms = 650;
-constexpr time_ms lease_wait_ms = 1000;
 /** Interval in which hosts look for new ones. */
 constexpr time_ms member_interval_ms = 3000;
-/** A renewal without an answer is repeated after this; longer than a slow store's answer. */
-constexpr time_ms lease_write_timeout_ms = 600;
-/** Spread of candidates for a vacant lease. */
-constexpr time_ms largest_jitter_ms = 120;
 /** Wait of a host without any processor of its own; the leader's work needs a strong one. */
 constexpr time_ms weakest_wait_ms = 400;
 /** Part of the configuration bound that is left for the way of a request. */
@@ -44,7 +37,6 @@
     metrics counters;
     http_client http;
     platform::store_client store;
-    std::mt19937_64 random{std::random_device{}()};
 
     std::shared_ptr<const gateway::configuration> configuration;
     /** The configuration as the operator wrote it, for peers. */
@@ -52,10 +44,9 @@
     /** Time (boottime) as of which a peer confirmed the configuration. */
     time_ms peer_confirmed_at = 0;
     std::unique_ptr<topic_follower> documents;
-    std::unique_ptr<topic_follower> leases;
+    std::unique_ptr<lease_keeper> lease;
     std::unique_ptr<topic_follower> members;
     std::unique_ptr<peers> others;
-    leadership_state leadership;
     std::unique_ptr<leader> term;
     std::unique_ptr<caller_api> callers;
     std::unique_ptr<http_server> caller_server;
@@ -67,12 +58,7 @@
     time_ms stop_began_at = 0;
 
     impl(event_loop& l, const node_settings& s)
-        : loop(l), settings(s), log(s.name), http(l), store(http, s.store_address) {
-        leadership.name = s.name;
-        leadership.address = s.internal_address();
-        leadership.incarnation = random();
-        leadership.incarnation &= 0x7fffffffffffffff;
-    }
+        : loop(l), settings(s), log(s.name), http(l), store(http, s.store_address) {}
 
     result<void> listen() {
         auto caller = http_server::Builder()
@@ -127,9 +113,11 @@
                          [this] { return configuration ? configuration->version : 0; }});
         callers = std::make_unique<caller_api>(caller_context{
             loop, http, store, log, counters, [this] { return in_force(); }, *others,
-            [this] { return term.get(); }, [this] { return leader_address(leadership); }});
+            [this] { return term.get(); }, [this] { return leader_address(lease->state()); }});
         follow_documents();
-        follow_leases();
+        lease = std::make_unique<lease_keeper>(lease_keeper_context{loop, store, log, settings.name,
+                                                                    settings.internal_address(),
+                                                                    [this] { update_term(); }});
         follow_members();
         register_member();
         later(tick_ms, [](impl& i) { i.tick(); });
@@ -167,10 +155,10 @@
         if (configuration->version > known_version) {
             view.configuration = configuration_text;
         }
-        if (leadership.newest) {
-            view.lease = leadership.newest;
-            view.lease_offset = leadership.newest_offset;
-            view.lease_age_ms = now - leadership.newest_read_at_ms;
+        if (lease->state().newest) {
+            view.lease = lease->state().newest;
+            view.lease_offset = lease->state().newest_offset;
+            view.lease_age_ms = now - lease->state().newest_read_at_ms;
         }
         return view;
     }
@@ -183,8 +171,7 @@
             peer_confirmed_at = std::max(peer_confirmed_at, sent_at - view.configuration_age_ms);
         }
         if (view.lease) {
-            lease_read(leadership, boottime_now(), view.lease_offset, *view.lease);
-            update_term();
+            lease->adopt(view.lease_offset, *view.lease);
         }
     }
 
@@ -233,7 +220,7 @@
 
     void handle_internal(const http_request& request, std::uint64_t token) {
         if (request.path == "/metrics") {
-            counters.set("leader", is_leader(leadership) ? 1 : 0);
+            counters.set("leader", is_leader(lease->state()) ? 1 : 0);
             counters.set("store_calls", static_cast<double>(store.calls()));
             http_response response;
             response.content_type = plain_text;
@@ -298,62 +285,6 @@
         }
     }
 
-    void follow_leases() {
-        follower_options options;
-        options.where = platform::topic::leadership;
-        options.wait_ms = lease_wait_ms;
-        options.on_snapshot = [this](const auto& records) {
-            for (const auto& record : records) {
-                lease_record_read(record);
-            }
-        };
-        options.on_record = [this](const auto& record) { lease_record_read(record); };
-        options.on_read = [this](bool ok) {
-            log_read(leadership, boottime_now(), ok, ok ? leases->end() : 0);
-            update_term();
-        };
-        leases = std::make_unique<topic_follower>(loop, store, std::move(options));
-    }
-
-    void lease_record_read(const platform::logged_record& record) {
-        const auto decoded = decode_lease(record.value);
-        if (!decoded) {
-            log.write("lease_unreadable", "offset=" + std::to_string(record.offset));
-            return;
-        }
-        const bool known = leadership.newest && leadership.newest->name == decoded.value().name;
-        if (!known) {
-            log.write("leader_seen", "leader=" + decoded.value().name +
-                                         " offset=" + std::to_string(record.offset));
-        }
-        lease_read(leadership, boottime_now(), record.offset, decoded.value());
-    }
-
-    void write_lease() {
-        const time_ms jitter =
-            static_cast<time_ms>(random() % static_cast<std::uint64_t>(largest_jitter_ms));
-        const auto due = due_write(leadership, boottime_now(), jitter + weakness_ms());
-        if (!due) {
-            return;
-        }
-        platform::append_request request;
-        request.where = platform::topic::leadership;
-        request.records = {{"leader", encode_lease(due->record)}};
-        request.expected_end = due->expected_end;
-        request.timeout_ms = lease_write_timeout_ms;
-        store.append(request, [self = weak_from_this()](const platform::append_outcome& outcome) {
-            if (const auto alive = self.lock()) {
-                alive->lease_written(outcome);
-            }
-        });
-    }
-
-    void lease_written(const platform::append_outcome& outcome) {
-        write_done(leadership, boottime_now(), outcome.status == platform::store_status::ok,
-                   outcome.offset);
-        update_term();
-    }
-
     scheduler::settings limits() const {
         scheduler::settings s = settings.limits;
         s.predecessor_grace_ms = leader_grace_ms;
@@ -362,23 +293,23 @@
 
     /** Starts or ends this host's term as its leadership came or went. */
     void update_term() {
-        if (is_leader(leadership) && !term && !stopping) {
+        if (is_leader(lease->state()) && !term && !stopping) {
             term = std::make_unique<leader>(
                 leader_context{loop, http, store, log, counters, limits(),
-                               [this] { return may_act(leadership, boottime_now()); }},
-                leadership.epoch,
-                leadership.predecessor_ended ? scheduler::predecessor::ended
-                                             : scheduler::predecessor::may_be_alive,
+                               [this] { return may_act(lease->state(), boottime_now()); }},
+                lease->state().epoch,
+                lease->state().predecessor_ended ? scheduler::predecessor::ended
+                                                 : scheduler::predecessor::may_be_alive,
                 configuration ? configuration->guarantees : scheduler::guarantees{},
-                [this] { resign(leadership); });
-        } else if (!is_leader(leadership) && term) {
+                [this] { resign(lease->state()); });
+        } else if (!is_leader(lease->state()) && term) {
             log.write("leader_stopped", "");
             term.reset();
         }
     }
 
     void tick() {
-        write_lease();
+        lease->advance(weakness_ms());
         update_term();
         if (store.unavailable()) {
             others->refresh_view();
@@ -437,7 +368,7 @@
     impl_->log.write("node_stopping",
                      "open_requests=" + std::to_string(impl_->caller_server->open_requests()));
     impl_->caller_server->drain();
-    request_release(impl_->leadership);
+    request_release(impl_->lease->state());
 }
 
 } // namespace fulmarworks::node
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -1,6 +1,7 @@
 #include "leader.h"
 
 #include "platform/documents.h"
+#include "progress_writer.h"
 #include "scheduler/codec.h"
 #include "scheduler/coordinator.h"
 #include "topic_follower.h"
@@ -17,7 +18,6 @@
 constexpr time_ms registry_interval_ms = 300;
 constexpr time_ms submission_wait_ms = 1000;
 constexpr time_ms store_retry_ms = 60;
-constexpr time_ms store_timeout_ms = 1000;
 
 std::string_view name_of(scheduler::job_state state) {
     switch (state) {
@@ -57,14 +57,13 @@
     bool fenced_out = false;
     bool progress_loaded = false;
     bool recovered = false;
-    std::uint64_t sequence = 0;
     time_ms began_at = 0;
 
     std::unordered_map<std::string, std::string> loaded_progress;
     std::unordered_map<std::string, std::string> loaded_submissions;
     std::vector<platform::logged_record> loaded_registry;
     std::optional<scheduler::coordinator_state> state;
-    std::vector<platform::keyed_record> batch;
+    std::unique_ptr<progress_writer> writer;
 
     std::uint64_t next_request = 1;
     std::unordered_map<std::uint64_t, std::function<void(const job_answer&)>> cancels;
@@ -97,7 +96,10 @@
         began_at = boottime_now();
         workers.set_fencing_token(epoch);
         context.log.write("leader_started", "epoch=" + std::to_string(epoch));
-        fence();
+        writer = std::make_unique<progress_writer>(progress_writer_context{
+            context.loop, context.store, context.log, context.counters, epoch,
+            [this] { load_progress(""); }, [this] { handle(scheduler::records_stored{}); },
+            [this] { depose("store_fenced"); }});
         follow_submissions();
         follow_registry();
         later(tick_ms, [](impl& i) { i.tick(); });
@@ -112,28 +114,6 @@
         later(0, [](impl& i) { i.on_deposed(); });
     }
 
-    /** Raises the store's epoch, so that no write of an earlier leader can follow. */
-    void fence() {
-        platform::append_request request;
-        request.where = platform::topic::progress;
-        request.writer = platform::writer_position{epoch, sequence};
-        request.timeout_ms = store_timeout_ms;
-        context.store.append(request, guarded([](impl& i, const platform::append_outcome& outcome) {
-                                 i.fence_done(outcome);
-                             }));
-    }
-
-    void fence_done(const platform::append_outcome& outcome) {
-        if (outcome.status == platform::store_status::fenced) {
-            depose("store_fenced");
-        } else if (outcome.status == platform::store_status::ok ||
-                   outcome.status == platform::store_status::out_of_sequence) {
-            load_progress("");
-        } else {
-            later(store_retry_ms, [](impl& i) { i.fence(); });
-        }
-    }
-
     void load_progress(const std::string& after) {
         context.store.newest(platform::topic::progress, after,
                              guarded([after](impl& i, const platform::newest_outcome& page) {
@@ -309,43 +289,11 @@
     }
 
     void carry_out(scheduler::store_records& records) {
-        batch.clear();
+        std::vector<platform::keyed_record> batch;
         for (auto& r : records.records) {
             batch.push_back({std::move(r.job), std::move(r.value)});
         }
-        ++sequence;
-        store_batch();
-    }
-
-    void store_batch() {
-        platform::append_request request;
-        request.where = platform::topic::progress;
-        request.records = batch;
-        request.writer = platform::writer_position{epoch, sequence};
-        request.timeout_ms = store_timeout_ms;
-        context.store.append(request, guarded([](impl& i, const platform::append_outcome& outcome) {
-                                 i.batch_done(outcome);
-                             }));
-    }
-
-    void batch_done(const platform::append_outcome& outcome) {
-        switch (outcome.status) {
-        case platform::store_status::ok:
-            batch.clear();
-            handle(scheduler::records_stored{});
-            return;
-        case platform::store_status::fenced: depose("store_fenced"); return;
-        case platform::store_status::out_of_sequence:
-            context.log.write("store_sequence", "sent=" + std::to_string(sequence) + " expected=" +
-                                                    std::to_string(outcome.expected_sequence));
-            sequence = outcome.expected_sequence;
-            later(store_retry_ms, [](impl& i) { i.store_batch(); });
-            return;
-        default:
-            context.counters.count("store_retries_total", "call", "progress");
-            later(store_retry_ms, [](impl& i) { i.store_batch(); });
-            return;
-        }
+        writer->write(std::move(batch));
     }
 
     void carry_out(const scheduler::send_start& order) {
--- a/libs/scheduler/include/scheduler/job_spec.h
+++ b/libs/scheduler/include/scheduler/job_spec.h
@@ -36,23 +36,28 @@
     std::uint32_t max_unavailable = 0;
 };
 
-/** A submission as it was accepted. It never changes. */
-struct job_spec {
-    std::string id;
-    std::string account;
-    std::string queue;
-    /** Pool of workers on which the job runs. */
+/** How a queue's jobs are treated. */
+struct queue_terms {
+    /** Pool of workers on which the jobs run. */
     std::string pool;
-    /** Opaque text handed to the workers. */
-    std::string payload;
     /** 0 is urgent; higher numbers yield. */
     int priority = 0;
     /** Failed runs after which a task, or a gang, is given up. */
     std::uint32_t max_attempts = 1;
-    /** The objective is this many times the longest chain of work ... */
+    /** The objective of a job is this many times its longest chain of work ... */
     double slack_factor = 1;
     /** ... and this much more. */
     time_ms latency_objective_ms = 0;
+};
+
+/** A submission as it was accepted, with the terms of its queue at that time. It never changes. */
+struct job_spec {
+    std::string id;
+    std::string account;
+    std::string queue;
+    queue_terms terms;
+    /** Opaque text handed to the workers. */
+    std::string payload;
     time_ms accepted_wall_ms = 0;
     std::vector<step_spec> steps;
     /** Number of timed occurrences; 0 for a job that runs once, at once. */
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -151,10 +151,11 @@
     for (const auto& s : spec.steps) {
         steps.push_back(encode_step(s));
     }
-    return pack(json::array(
-        {layout_version, spec.account, spec.queue, spec.pool, spec.payload, spec.priority,
-         spec.max_attempts, spec.slack_factor, spec.latency_objective_ms, spec.accepted_wall_ms,
-         std::move(steps), spec.repeat_count, spec.first_start_wall_ms, spec.repeat_interval_ms}));
+    return pack(
+        json::array({layout_version, spec.account, spec.queue, spec.terms.pool, spec.payload,
+                     spec.terms.priority, spec.terms.max_attempts, spec.terms.slack_factor,
+                     spec.terms.latency_objective_ms, spec.accepted_wall_ms, std::move(steps),
+                     spec.repeat_count, spec.first_start_wall_ms, spec.repeat_interval_ms}));
 }
 
 result<job_spec> decode_job_spec(std::string_view data) {
@@ -169,12 +170,12 @@
         const auto next = [&](auto& value) { j.at(i++).get_to(value); };
         next(spec.account);
         next(spec.queue);
-        next(spec.pool);
+        next(spec.terms.pool);
         next(spec.payload);
-        next(spec.priority);
-        next(spec.max_attempts);
-        next(spec.slack_factor);
-        next(spec.latency_objective_ms);
+        next(spec.terms.priority);
+        next(spec.terms.max_attempts);
+        next(spec.terms.slack_factor);
+        next(spec.terms.latency_objective_ms);
         next(spec.accepted_wall_ms);
         for (const json& step : j.at(i++)) {
             spec.steps.push_back(decode_step(step));
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -33,7 +33,7 @@
     r.state.jobs.emplace(spec.id, std::move(added));
     note(r, "job_known",
          "request=" + spec.id + " account=" + spec.account + " queue=" + spec.queue + " priority=" +
-             std::to_string(spec.priority) + " steps=" + std::to_string(spec.steps.size()) +
+             std::to_string(spec.terms.priority) + " steps=" + std::to_string(spec.steps.size()) +
              " age_ms=" + std::to_string(r.now.wall_ms - spec.accepted_wall_ms));
     open_due_occurrences(r, j);
     r.state.plan_needed = true;
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -74,7 +74,7 @@
     ++failures;
     place.item->failed_on = place.item->where.id;
     blame_worker(r, place.item->where.id, end.task.job);
-    if (failures >= place.owner->spec.max_attempts && !place.spec->long_running) {
+    if (failures >= place.owner->spec.terms.max_attempts && !place.spec->long_running) {
         place.owner->failed = true;
     }
 }
--- a/libs/scheduler/src/planner.cpp
+++ b/libs/scheduler/src/planner.cpp
@@ -66,7 +66,7 @@
         return false;
     }
     const auto patience =
-        unit.owner->spec.priority == 0
+        unit.owner->spec.terms.priority == 0
             ? urgent_rack_patience * static_cast<double>(p.state.limits.reclaim_ms)
             : rack_patience_runs * static_cast<double>(unit.spec().estimate_ms);
     return static_cast<double>(waited) < patience;
@@ -150,7 +150,7 @@
 /** Makes room for an urgent unit, in the rack where that is possible at the least cost. */
 void preempt(planning& p, const work_unit& unit, const placement_request& request) {
     if (!p.victims) {
-        p.victims = collect_victims(p.state, p.rooms, unit.owner->spec.priority, p.now_ms);
+        p.victims = collect_victims(p.state, p.rooms, unit.owner->spec.terms.priority, p.now_ms);
     }
     std::optional<preemption_choice> best;
     for (const auto* rack : racks_to_try(p, unit)) {
@@ -228,7 +228,7 @@
         accept(p, unit, *chosen);
         return;
     }
-    if (unit.owner->spec.priority != 0) {
+    if (unit.owner->spec.terms.priority != 0) {
         return;
     }
     // Room that is about to become free is kept for the unit by booking it here.
@@ -245,7 +245,7 @@
         unit.tasks.erase(unit.tasks.begin(),
                          unit.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
     }
-    if (unit.owner->spec.priority != 0 || unit.tasks.empty()) {
+    if (unit.owner->spec.terms.priority != 0 || unit.tasks.empty()) {
         return;
     }
     const auto soon =
--- a/libs/scheduler/src/preemption.cpp
+++ b/libs/scheduler/src/preemption.cpp
@@ -27,7 +27,7 @@
 }
 
 bool may_yield(const job& owner, const step_spec& spec, int priority) {
-    return owner.spec.priority > priority && !spec.long_running;
+    return owner.spec.terms.priority > priority && !spec.long_running;
 }
 
 bool stoppable(task_phase phase) {
--- a/libs/scheduler/src/rooms.cpp
+++ b/libs/scheduler/src/rooms.cpp
@@ -54,7 +54,7 @@
 }
 
 bool eligible(const worker_room& room, const placement_request& request) {
-    if (!room.open || room.host->report.pool != request.owner->spec.pool) {
+    if (!room.open || room.host->report.pool != request.owner->spec.terms.pool) {
         return false;
     }
     const std::string& label = request.spec->required_label;
--- a/libs/scheduler/src/work_units.cpp
+++ b/libs/scheduler/src/work_units.cpp
@@ -13,8 +13,9 @@
 constexpr int useful_objectives = 3;
 
 time_ms objective_ms(const job_spec& spec) {
-    return static_cast<time_ms>(spec.slack_factor * static_cast<double>(longest_chain_ms(spec))) +
-           spec.latency_objective_ms;
+    return static_cast<time_ms>(spec.terms.slack_factor *
+                                static_cast<double>(longest_chain_ms(spec))) +
+           spec.terms.latency_objective_ms;
 }
 
 /** Returns the estimated time from the start of `step` to the end of the job. */
@@ -46,7 +47,7 @@
 std::map<std::string, std::int64_t> urgent_demand(const coordinator_state& state) {
     std::map<std::string, std::int64_t> demand;
     for (const auto& [id, j] : state.jobs) {
-        if (j->ended() || j->spec.priority != 0) {
+        if (j->ended() || j->spec.terms.priority != 0) {
             continue;
         }
         std::int64_t widest = 0;
@@ -101,13 +102,13 @@
             continue;
         }
         const auto guarantee = state.accounts.find(j->spec.account);
-        const bool guaranteed = j->spec.priority == 0 && guarantee != state.accounts.end() &&
+        const bool guaranteed = j->spec.terms.priority == 0 && guarantee != state.accounts.end() &&
                                 demand.at(j->spec.account) <= guarantee->second;
         collect_job(*j, guaranteed, now_ms, units);
     }
     std::sort(units.begin(), units.end(), [](const work_unit& a, const work_unit& b) {
         const auto key = [](const work_unit& u) {
-            return std::tie(u.owner->spec.priority, u.class_of_service, u.objective_at_ms,
+            return std::tie(u.owner->spec.terms.priority, u.class_of_service, u.objective_at_ms,
                             u.owner->spec.id, u.in->number, u.step);
         };
         return key(a) < key(b);
--- a/libs/scheduler/src/worker_links.h
+++ b/libs/scheduler/src/worker_links.h
@@ -4,6 +4,12 @@
 
 namespace fulmarworks::scheduler {
 
+/** An order without an answer is sent again after this. */
+inline constexpr time_ms repeat_order_ms = 400;
+
+/** Releases everything that a worker ran and that is known to be over. */
+void release_all(reduction& r, worker& w, std::string_view reason);
+
 /** Returns the time after which no lease is alive that was granted until `granted_until_ms`. */
 [[nodiscard]] time_ms longest_lease_end(const settings& limits, time_ms granted_until_ms);
 
--- /dev/null
+++ b/libs/scheduler/src/worker_upkeep.cpp
@@ -0,0 +1,139 @@
+#include "worker_links.h"
+
+#include <algorithm>
+
+namespace fulmarworks::scheduler {
+
+namespace {
+
+/** Time that a busy worker may wait for an end before it answers a poll. */
+constexpr time_ms busy_poll_wait_ms = 1000;
+/** A poll is due when this much is left of a wait that should have been answered. */
+constexpr time_ms idle_poll_interval_ms = 4000;
+/** A lease may last this part longer than granted, as a worker's clock may be slow by 2%. */
+constexpr time_ms clock_tolerance_divisor = 40;
+/** Pause after a failed poll, so that an unreachable worker isn't hammered. */
+constexpr time_ms failed_poll_pause_ms = 300;
+/** Lease that a poll grants: longer than a change of the leader with a restart of all hosts,
+ * shorter than what callers wait for work on a lost worker to move. */
+constexpr time_ms granted_lease_ms = 4000;
+/** What may be left of a lease when a silent worker's entry is removed: the registry waits three
+ * heartbeats of 1.5 s, of which one may have passed before the worker was cut off. */
+constexpr time_ms unlisted_lease_rest_ms = 1300;
+/** Part of the longest lease that is left out, for the way of the request. */
+constexpr time_ms lease_margin_ms = 100;
+/** Interval in which unanswered orders are looked for. */
+constexpr time_ms repeat_interval_ms = 100;
+/** Starts sent before the worker's own lists decide. */
+constexpr std::uint32_t max_start_attempts = 3;
+
+void poll(reduction& r, worker& w) {
+    const time_ms now = r.now.monotonic_ms;
+    const bool busy = !w.assigned.empty() || !w.strays.empty();
+    // A worker that doesn't answer gets no longer lease, so that its work can move on.
+    const bool renew = busy && w.clock_reference_ms != 0 && w.failed_polls == 0;
+    time_ms lease_end = 0;
+    if (renew) {
+        lease_end = worker_clock(w, now) + std::min(granted_lease_ms, r.state.limits.max_lease_ms) -
+                    lease_margin_ms;
+        grant_lease(w, lease_end);
+    }
+    const bool may_wait = w.verified && w.failed_polls == 0 && busy;
+    w.poll_outstanding = true;
+    w.poll_sent_at_ms = now;
+    r.out.emplace_back(send_poll{w.report.life, w.report.address, lease_end, w.stored_sequence,
+                                 may_wait ? busy_poll_wait_ms : 0});
+}
+
+bool poll_due(const worker& w, time_ms now_ms) {
+    if (w.poll_outstanding || w.report.address.empty()) {
+        return false;
+    }
+    if (w.failed_polls > 0) {
+        return now_ms - w.poll_sent_at_ms >= failed_poll_pause_ms;
+    }
+    if (!w.verified) {
+        return true;
+    }
+    if (w.applied_sequence > w.stored_sequence) {
+        return false; // asks again once the effect of the ends is stored
+    }
+    const bool busy = !w.assigned.empty() || !w.strays.empty();
+    return busy || now_ms - w.answered_at_ms >= idle_poll_interval_ms;
+}
+
+void repeat_orders(reduction& r, worker& w) {
+    const time_ms now = r.now.monotonic_ms;
+    std::vector<task_id> unanswered;
+    for (const auto& id : w.assigned) {
+        const task_place place = find_task(r.state, id);
+        if (place && now - place.item->ordered_at_ms >= repeat_order_ms &&
+            (place.item->phase == task_phase::stopping ||
+             place.item->phase == task_phase::ordered)) {
+            unanswered.push_back(id);
+        }
+    }
+    for (const auto& id : unanswered) {
+        const task_place place = find_task(r.state, id);
+        if (place.item->phase == task_phase::stopping) {
+            stop_task(r, id, place, "repeat");
+        } else if (w.failed_polls == 0 && place.item->order_attempts < max_start_attempts) {
+            order_start(r, id, place);
+        }
+    }
+}
+
+/**
+ * Returns whether a worker that doesn't answer is gone for good. One that announced its end and
+ * left the registry has ended. Any other leaves it after three heartbeats of silence, so that its
+ * lease, which nobody could renew since, has run out soon after that.
+ */
+bool has_left(const worker& w, time_ms now_ms) {
+    const bool unreachable = w.failed_polls > 0 || w.report.address.empty();
+    if (w.listed || !unreachable) {
+        return false;
+    }
+    return w.report.draining || now_ms - w.unlisted_since_ms >= unlisted_lease_rest_ms;
+}
+
+/** Releases what was leased to a worker that can't be reached, once it can't be alive. */
+void expire_lease(reduction& r, worker& w) {
+    const bool reachable = w.verified && w.failed_polls == 0;
+    const bool over = r.now.monotonic_ms >= w.lease_horizon_ms || has_left(w, r.now.monotonic_ms);
+    if (reachable || w.assigned.empty() || !over) {
+        return;
+    }
+    note(r, "worker_lost",
+         "worker=" + w.report.life.id + " failed_polls=" + std::to_string(w.failed_polls));
+    w.verified = false;
+    release_all(r, w, "lease_expired");
+}
+
+} // namespace
+
+time_ms longest_lease_end(const settings& limits, time_ms granted_until_ms) {
+    const time_ms lease = std::min(granted_lease_ms, limits.max_lease_ms);
+    return granted_until_ms + lease + lease / clock_tolerance_divisor + lease_margin_ms;
+}
+
+void maintain_workers(reduction& r) {
+    const bool repeat = r.now.monotonic_ms - r.state.repeated_at_ms >= repeat_interval_ms;
+    if (repeat) {
+        r.state.repeated_at_ms = r.now.monotonic_ms;
+    }
+    for (auto& [id, w] : r.state.workers) {
+        expire_lease(r, w);
+        if (repeat) {
+            repeat_orders(r, w);
+        }
+        if (poll_due(w, r.now.monotonic_ms)) {
+            poll(r, w);
+        }
+    }
+    std::erase_if(r.state.workers, [&](const auto& entry) {
+        const worker& w = entry.second;
+        return !w.listed && w.assigned.empty() && w.strays.empty() && !w.poll_outstanding;
+    });
+}
+
+} // namespace fulmarworks::scheduler
--- a/libs/scheduler/tests/coordinator_fixture.h
+++ b/libs/scheduler/tests/coordinator_fixture.h
@@ -93,11 +93,11 @@
         spec.id = id;
         spec.account = "account";
         spec.queue = "queue";
-        spec.pool = "pool";
-        spec.priority = priority;
-        spec.max_attempts = 2;
-        spec.slack_factor = 3;
-        spec.latency_objective_ms = 1000;
+        spec.terms.pool = "pool";
+        spec.terms.priority = priority;
+        spec.terms.max_attempts = 2;
+        spec.terms.slack_factor = 3;
+        spec.terms.latency_objective_ms = 1000;
         step_spec step;
         step.task_count = tasks;
         step.per_task = need;
