Wait for an instance to read of a job's end before it denies the result

Ruled out: a lost result (that answers 410 or 409 result_lost). Change: a request for a result waits up to 1 s, the time that the refusal would send the caller away for, until the job has ended in this instance's state.

--- a/libs/service/src/api_router.cpp
+++ b/libs/service/src/api_router.cpp
@@ -18,6 +18,10 @@
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr time_ms retry_ms = 1000;
+/** Time that a request for a result waits for this instance to read what another one has told
+ * already; as long as the caller would stay away after a refusal. */
+constexpr time_ms catch_up_limit_ms = retry_ms;
+constexpr time_ms catch_up_pause_ms = 20;
 
 void respond_json(router_context& c, std::uint64_t token, int status, const json& body,
                   time_ms retry_after_ms = 0) {
@@ -32,6 +36,11 @@
     respond_json(c, token, status, body, retry_after_ms);
 }
 
+void respond_unknown_job(router_context& c, std::uint64_t token) {
+    respond_error(c, token, status_not_found, "unknown_job",
+                  "no such job; check the account and request id");
+}
+
 void submit(router_context& c, const http_request& r, std::uint64_t token) {
     auto parsed = parse_submission(r.body, wall_now(), c.state.settings.limits);
     if (!parsed) {
@@ -107,6 +116,21 @@
     c.workers.fetch_result(listed->second.address, j.id, j.attempt, relay);
 }
 
+/** Answers with a job's result once the job has ended here, or when the time is up. */
+void answer_result(router_context& c, const std::string& id, std::uint64_t token,
+                   time_ms give_up_at) {
+    const job* j = find_job(c.state.ledger, id);
+    const bool ended = j != nullptr && is_final(j->phase);
+    if (!ended && monotonic_now() < give_up_at) {
+        c.after(catch_up_pause_ms,
+                [c, id, token, give_up_at]() mutable { answer_result(c, id, token, give_up_at); });
+    } else if (j == nullptr) {
+        respond_unknown_job(c, token);
+    } else {
+        fetch_result(c, *j, token);
+    }
+}
+
 std::vector<std::string> split_path(std::string_view path) {
     std::vector<std::string> parts;
     std::size_t start = 0;
@@ -136,14 +160,15 @@
         c.handle(caller_asked{token, id, query_number(r.query, "wait_ms", 0)});
         return;
     }
+    if (action == "result") {
+        answer_result(c, id, token, monotonic_now() + catch_up_limit_ms);
+        return;
+    }
     const job* j = find_job(c.state.ledger, id);
     if (j == nullptr) {
-        respond_error(c, token, status_not_found, "unknown_job",
-                      "no such job; check the account and request id");
+        respond_unknown_job(c, token);
     } else if (action == "explain") {
         respond_json(c, token, status_ok, explain_job(c.state.ledger, *j));
-    } else if (action == "result") {
-        fetch_result(c, *j, token);
     } else {
         respond_error(c, token, status_not_found, "bad_request", "no such call; see docs/API.md");
     }
--- a/libs/service/src/api_router.h
+++ b/libs/service/src/api_router.h
@@ -15,6 +15,8 @@
     worker_client& workers;
     std::function<void(const event&)> handle;
     std::function<std::string()> metrics;
+    /** Calls an action once, after a delay. */
+    std::function<void(time_ms, std::function<void()>)> after;
 };
 
 /** Answers a request or turns it into an event. docs/API.md specifies the calls. */
--- a/tests/integration/integration_test.cpp
+++ b/tests/integration/integration_test.cpp
@@ -83,6 +83,22 @@
     }
 }
 
+TEST_CASE(
+    "a result is served by an instance that reads the log later than the one that told of it") {
+    test_cluster cluster;
+    REQUIRE(cluster.publish());
+    REQUIRE(cluster.wait_hosts_up(0, hosts_on));
+    constexpr time_ms lag_ms = 150;
+    cluster.control_log_proxy(0, {{"fault", "delay"}, {"delay_ms", lag_ms}});
+    for (int round = 0; round < 5; ++round) {
+        const std::string id = "late-" + std::to_string(round);
+        REQUIRE(cluster.call(1, "POST", "/v1/jobs", submission("ghent", id, "slurry-fit", 1, 1, 50))
+                    .status == 202);
+        REQUIRE(cluster.wait_final(1, "ghent/" + id).value("state", "") == "done");
+        CHECK(cluster.call(0, "GET", "/v1/jobs/ghent/" + id + "/result").status == 200);
+    }
+}
+
 TEST_CASE("of racing operators one wins and the other learns the winner's version") {
     test_cluster cluster;
     REQUIRE(cluster.publish());
