Fault soak of real entry hosts against a stand-in of the platform

Change: tests/soak plays seeds: real entry hosts as processes, a stand-in of the store (keyed, conditional and fenced appends, waiting reads, expiring history, busy, silent, slow, lost and late answers), workers with leases on slow clocks, gangs, late orders and restarts, a proxy on each host's way to the store, kills, stops, pauses and reloads, overlapping, and callers that repeat and cancel. rule_book checks TWICE, LIMIT, ORDER, BUDGET, UNASKED, REFUSED, MIXED and LOST while it runs. The HTTP client leaves Host alone where the caller names one (the callers of the soak do).

--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http_server.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <event2/buffer.h>
@@ -162,7 +163,11 @@
         evhttp_connection_set_timeout_tv(connection, &timeout);
         evhttp_request* request = evhttp_request_new(completed, open);
         evkeyvalq* headers = evhttp_request_get_output_headers(request);
-        evhttp_add_header(headers, "Host", call.address.c_str());
+        const bool names_host = std::any_of(call.headers.begin(), call.headers.end(),
+                                            [](const auto& h) { return h.name == "Host"; });
+        if (!names_host) {
+            evhttp_add_header(headers, "Host", call.address.c_str());
+        }
         for (const auto& h : call.headers) {
             evhttp_add_header(headers, h.name.c_str(), h.value.c_str());
         }
--- a/tests/harness/test_cluster.cpp
+++ b/tests/harness/test_cluster.cpp
@@ -1,48 +1,17 @@
 #include "test_cluster.h"
 
-#include <arpa/inet.h>
+#include "free_ports.h"
+
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace fulmarworks {
 
 namespace {
 
-constexpr int lowest_port = 10000;
-constexpr int port_range = 20000;
-
-bool is_free_port(int port) {
-    const int s = socket(AF_INET, SOCK_STREAM, 0);
-    const int on = 1;
-    setsockopt(s, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in a = {};
-    a.sin_family = AF_INET;
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    a.sin_port = htons(static_cast<std::uint16_t>(port));
-    const bool free = bind(s, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
-    close(s);
-    return free;
-}
-
-/** Returns the first of `count` adjacent ports that are free, below the ephemeral ones. */
-int find_ports(int count) {
-    static int next = lowest_port + (getpid() * 131) % port_range;
-    int found = 0;
-    while (found < count) {
-        if (next >= lowest_port + port_range) {
-            next = lowest_port;
-            found = 0;
-        }
-        found = is_free_port(next) ? found + 1 : 0;
-        ++next;
-    }
-    return next - count;
-}
-
 std::string loopback(int port) {
     return "127.0.0.1:" + std::to_string(port);
 }
@@ -60,7 +29,7 @@
         throw std::runtime_error("cannot create a temporary directory");
     }
     directory_ = pattern;
-    const int port = find_ports(2 + 4 * options_.instances);
+    const int port = find_free_ports(2 + 4 * options_.instances);
     log_address_ = loopback(port);
     host_list_address_ = loopback(port + 1);
     for (int i = 0; i < options_.instances; ++i) {
@@ -92,7 +61,7 @@
     std::vector<std::string> log = {STANDIN_BINARY, "log", "--address", log_address_};
     log.insert(log.end(), options_.log_options.begin(), options_.log_options.end());
     standins_.emplace_back(log, file("log.txt"));
-    const std::string first_port = std::to_string(find_ports(options_.worker_ports));
+    const std::string first_port = std::to_string(find_free_ports(options_.worker_ports));
     standins_.emplace_back(std::vector<std::string>{STANDIN_BINARY, "fleet", "--config",
                                                     options_.config_file, "--address",
                                                     host_list_address_, "--first-port", first_port},
--- /dev/null
+++ b/tests/soak/soak_client.cpp
@@ -0,0 +1,185 @@
+#include "soak_client.h"
+
+#include <array>
+
+namespace fulmarworks::soak {
+
+namespace {
+
+constexpr const char* host_name = "soak.example";
+constexpr const char* api_key = "soak-key";
+constexpr time_ms patience_ms = 3000;
+constexpr time_ms ask_interval_ms = 700;
+constexpr time_ms retry_pause_ms = 200;
+constexpr int max_retries = 4;
+
+/** Queues by priority, as the sites of the platform have them. */
+constexpr std::array<const char*, 3> queues = {"/urgent/", "/normal/", "/bulk/"};
+
+bool is_final(const std::string& state) {
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
+
+std::string state_of(const http_answer& answer) {
+    const auto parsed = parse_json(answer.body);
+    return parsed && parsed.value().is_object() ? parsed.value().value("state", "") : "";
+}
+
+json encode_submission(const job_shape& shape) {
+    json steps = json::array();
+    for (const auto& s : shape.steps) {
+        json step = {{"count", s.tasks},
+                     {"cpu", s.per_task.cpu_millis},
+                     {"memMb", s.per_task.memory_mb},
+                     {"gpu", s.per_task.accelerators},
+                     {"estimateMs", s.run_ms},
+                     {"dependsOn", s.depends_on}};
+        if (s.gang) {
+            step["gang"] = true;
+        }
+        steps.push_back(step);
+    }
+    return {{"spec", encode_shape(shape).dump()}, {"steps", steps}};
+}
+
+} // namespace
+
+std::string soak_configuration() {
+    json routes = json::array();
+    for (std::size_t i = 0; i < queues.size(); ++i) {
+        routes.push_back({{"name", "q" + std::to_string(i)},
+                          {"host", host_name},
+                          {"pathPrefix", queues[i]},
+                          {"service", "pool"},
+                          {"priority", i},
+                          {"maxAttempts", 4},
+                          {"slackFactor", 2.0},
+                          {"targetLatencyMs", 1000},
+                          {"timeoutMs", 3000}});
+    }
+    const json account = {{"name", "a"}, {"apiKeys", {api_key}}, {"guaranteed", {{"gpu", 8}}}};
+    return json{{"version", 1},
+                {"routes", routes},
+                {"services", json::array({{{"name", "pool"}}})},
+                {"tenants", json::array({account})}}
+        .dump();
+}
+
+soak_client::soak_client(event_loop& loop, rule_book& rules, std::vector<std::string> hosts,
+                         std::uint64_t seed)
+    : loop_(loop), rules_(rules), http_(loop), hosts_(std::move(hosts)), random_(seed) {}
+
+int soak_client::pick(int low, int high) {
+    return low + static_cast<int>(random_() % static_cast<std::uint64_t>(high - low + 1));
+}
+
+job_shape soak_client::random_shape() {
+    const auto step = [&](int tasks, int accelerators, bool gang) {
+        return step_shape{tasks, {1000, 1024, accelerators}, pick(200, 900), gang, {}};
+    };
+    job_shape shape;
+    switch (pick(0, 3)) {
+    case 0: shape.steps = {step(pick(1, 3), pick(1, 4), true)}; break;
+    case 1: shape.steps = {step(pick(2, 10), 1, false)}; break;
+    case 2:
+        shape.steps = {step(2, 1, false), step(pick(2, 4), 2, true)};
+        shape.steps[1].depends_on = {0};
+        break;
+    default: shape.steps = {step(1, 8, false)}; break;
+    }
+    return shape;
+}
+
+void soak_client::submit_random(bool cancel) {
+    constexpr std::size_t id_digits = 16;
+    std::string id;
+    while (id.size() < id_digits) {
+        id += "0123456789abcdef"[random_() % 16];
+    }
+    caller_view view;
+    view.shape = random_shape();
+    bodies_[id] = encode_submission(view.shape).dump();
+    queues_[id] = queues[random_() % queues.size()];
+    cancels_[id] = cancel;
+    rules_.jobs[id] = std::move(view);
+    submit(id, max_retries);
+}
+
+http_call soak_client::make_call(const std::string& method, const std::string& id) {
+    http_call call;
+    call.method = method;
+    call.address = hosts_[random_() % hosts_.size()];
+    call.target = queues_.at(id) + id;
+    call.timeout_ms = patience_ms;
+    call.headers = {{"Host", host_name},
+                    {"X-Api-Key", api_key},
+                    {"X-Fulmarworks-Deadline-Ms", std::to_string(patience_ms)}};
+    return call;
+}
+
+void soak_client::submit(const std::string& id, int retries_left) {
+    http_call call = make_call("POST", id);
+    call.body = bodies_.at(id);
+    http_.send(call, [this, id, retries_left](const http_answer& answer) {
+        submitted(id, retries_left, answer);
+    });
+}
+
+void soak_client::submitted(const std::string& id, int retries_left, const http_answer& answer) {
+    ++answers_[answer.status];
+    caller_view& view = rules_.jobs.at(id);
+    if (answer.status == 200) {
+        view.accepted = true;
+        view.accepted_at = monotonic_now();
+        ask(id);
+        if (cancels_.at(id)) {
+            loop_.after(pick(0, 1200), [this, id] { cancel(id); });
+        }
+        return;
+    }
+    const bool refused = answer.status == 503 || answer.status == 429;
+    view.undecided = view.undecided || !refused;
+    if (retries_left > 0) {
+        const time_ms pause = std::max<time_ms>(answer.retry_after_ms, retry_pause_ms);
+        loop_.after(pause, [this, id, retries_left] { submit(id, retries_left - 1); });
+    }
+}
+
+void soak_client::ask(const std::string& id) {
+    http_.send(make_call("GET", id), [this, id](const http_answer& answer) { asked(id, answer); });
+}
+
+void soak_client::asked(const std::string& id, const http_answer& answer) {
+    if (answer.status == 200) {
+        rules_.shown(id, state_of(answer));
+    } else if (answer.status == 410) {
+        rules_.denied(id);
+    }
+    if (!is_final(rules_.jobs.at(id).last_state)) {
+        loop_.after(ask_interval_ms, [this, id] { ask(id); });
+    }
+}
+
+void soak_client::cancel(const std::string& id) {
+    // The state may be shown as cancelled before the confirmation arrives.
+    rules_.jobs.at(id).undecided = true;
+    http_.send(make_call("DELETE", id), [this, id](const http_answer& answer) {
+        if (answer.status == 200) {
+            rules_.jobs.at(id).cancelled_at = monotonic_now();
+        } else if (answer.status == 410) {
+            rules_.denied(id);
+        } else {
+            loop_.after(retry_pause_ms, [this, id] { cancel(id); });
+        }
+    });
+}
+
+std::size_t soak_client::open_jobs() const {
+    std::size_t open = 0;
+    for (const auto& [id, view] : rules_.jobs) {
+        open += view.accepted && !is_final(view.last_state) ? 1 : 0;
+    }
+    return open;
+}
+
+} // namespace fulmarworks::soak
--- /dev/null
+++ b/tests/soak/store_standin.cpp
@@ -0,0 +1,255 @@
+#include "store_standin.h"
+
+#include "base/time.h"
+
+#include <algorithm>
+
+namespace fulmarworks::soak {
+
+namespace {
+
+constexpr time_ms waiting_check_ms = 10;
+constexpr std::size_t page_items = 500;
+constexpr std::size_t remembered_answers = 5;
+constexpr std::uint64_t max_body = 4U << 20U;
+
+std::string encode_base64(std::string_view bytes) {
+    static constexpr char digits[] =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string text;
+    for (std::size_t i = 0; i < bytes.size(); i += 3) {
+        std::uint32_t group = 0;
+        for (std::size_t k = 0; k < 3; ++k) {
+            const bool inside = i + k < bytes.size();
+            group = group << 8U | (inside ? static_cast<unsigned char>(bytes[i + k]) : 0U);
+        }
+        for (std::size_t k = 0; k < 4; ++k) {
+            text += i + k <= bytes.size() ? digits[group >> (18 - 6 * k) & 63U] : '=';
+        }
+    }
+    return text;
+}
+
+std::string big_endian(std::uint64_t value, std::size_t bytes) {
+    std::string text;
+    for (std::size_t i = bytes; i-- > 0;) {
+        text.push_back(static_cast<char>(value >> (8 * i) & 0xffU));
+    }
+    return text;
+}
+
+std::uint64_t read_big_endian(std::string_view bytes) {
+    std::uint64_t value = 0;
+    for (const char c : bytes) {
+        value = value << 8U | static_cast<unsigned char>(c);
+    }
+    return value;
+}
+
+http_response reply(int status, const json& body) {
+    http_response response;
+    response.status = status;
+    response.body = body.dump();
+    return response;
+}
+
+} // namespace
+
+store_standin::store_standin(event_loop& loop) : loop_(loop) {}
+
+result<bool> store_standin::listen(const std::string& address) {
+    auto server = http_server::Builder()
+                      .address(address)
+                      .max_body_bytes(max_body)
+                      .read_timeout_ms(60 * milliseconds_per_second)
+                      .on_request([this](const http_request& r, std::uint64_t t) { handle(r, t); })
+                      .on_gone([this](std::uint64_t token) { waiting_.erase(token); })
+                      .build(loop_);
+    if (!server) {
+        return server.error();
+    }
+    server_ = std::move(server.value());
+    loop_.every(waiting_check_ms, [this] { answer_waiting(); });
+    return true;
+}
+
+void store_standin::put(const std::string& topic, const std::string& key,
+                        const std::string& value) {
+    add(topics_[topic], key, value);
+}
+
+void store_standin::set_mode(store_mode mode, time_ms delay_ms) {
+    mode_ = mode;
+    delay_ms_ = delay_ms;
+}
+
+void store_standin::before_newest(const std::string& topic, std::function<void()> action) {
+    before_newest_[topic] = std::move(action);
+}
+
+std::optional<std::string> store_standin::newest_of(const std::string& topic,
+                                                    const std::string& key) const {
+    const auto in = topics_.find(topic);
+    if (in == topics_.end() || !in->second.newest.contains(key)) {
+        return std::nullopt;
+    }
+    return in->second.records[in->second.newest.at(key)].value;
+}
+
+void store_standin::forget_history() {
+    for (auto& [name, topic] : topics_) {
+        topic.first_kept = topic.records.size();
+    }
+}
+
+void store_standin::add(topic_state& topic, std::string key, std::string value) {
+    if (value.empty()) {
+        topic.newest.erase(key);
+    } else {
+        topic.newest[key] = topic.records.size();
+    }
+    topic.records.push_back({std::move(key), std::move(value)});
+}
+
+void store_standin::handle(const http_request& request, std::uint64_t token) {
+    if (mode_ == store_mode::busy) {
+        answer(token, reply(503, json::object()));
+        return;
+    }
+    if (mode_ == store_mode::silent) {
+        return;
+    }
+    if (request.path == "/log-read") {
+        read(request, token);
+    } else if (request.path == "/log-newest") {
+        answer(token, newest(request));
+    } else if (request.path == "/log-append" && mode_ == store_mode::late) {
+        loop_.after(delay_ms_, [this, request] { (void)append(request); });
+    } else if (request.path == "/log-append") {
+        const auto response = append(request);
+        if (mode_ != store_mode::lose_answers) {
+            answer(token, response);
+        }
+    } else {
+        answer(token, reply(400, json::object()));
+    }
+}
+
+void store_standin::answer(std::uint64_t token, const http_response& response) {
+    if (mode_ == store_mode::slow) {
+        loop_.after(delay_ms_, [this, token, response] { server_->respond(token, response); });
+    } else {
+        server_->respond(token, response);
+    }
+}
+
+http_response store_standin::append(const http_request& request) {
+    topic_state& topic = topics_[query_value(request.query, "topic")];
+    const std::uint64_t end = topic.records.size();
+    const std::string expected = query_value(request.query, "at");
+    const std::string name = query_value(request.query, "producer");
+    producer_state* producer = name.empty() ? nullptr : &topic.producers[name];
+    const auto epoch = static_cast<std::uint64_t>(query_number(request.query, "epoch", 0));
+    const auto sequence = static_cast<std::uint64_t>(query_number(request.query, "sequence", 0));
+    if (producer != nullptr) {
+        if (epoch < producer->epoch) {
+            return reply(409, {{"reason", "fenced"}});
+        }
+        if (epoch > producer->epoch) {
+            *producer = {epoch, sequence, {}};
+        } else if (const auto known = producer->answers.find(sequence);
+                   known != producer->answers.end()) {
+            return {200, known->second};
+        } else if (sequence != producer->sequence + 1) {
+            return reply(409, {{"reason", "seq"}, {"sequence", producer->sequence + 1}});
+        }
+    }
+    if (!expected.empty() && expected != std::to_string(end)) {
+        return reply(412, {{"end", end}});
+    }
+    std::string_view rest = request.body;
+    while (rest.size() > 4) {
+        const std::uint64_t length = read_big_endian(rest.substr(0, 4));
+        const std::string_view payload = rest.substr(4, length);
+        const auto key_length = static_cast<unsigned char>(payload[0]);
+        add(topic, std::string(payload.substr(1, key_length)),
+            std::string(payload.substr(1U + key_length)));
+        rest.remove_prefix(4 + length);
+    }
+    const http_response response = reply(200, {{"offset", end}, {"end", topic.records.size()}});
+    if (producer != nullptr) {
+        producer->sequence = sequence;
+        producer->answers[sequence] = response.body;
+        if (producer->answers.size() > remembered_answers) {
+            producer->answers.erase(producer->answers.begin());
+        }
+    }
+    return response;
+}
+
+http_response store_standin::newest(const http_request& request) {
+    const std::string name = query_value(request.query, "topic");
+    if (const auto hook = before_newest_.extract(name)) {
+        hook.mapped()();
+    }
+    const topic_state& topic = topics_[name];
+    auto next = topic.newest.upper_bound(query_value(request.query, "dependsOn"));
+    json items = json::array();
+    for (; next != topic.newest.end() && items.size() < page_items; ++next) {
+        items.push_back({{"key", next->first},
+                         {"value", encode_base64(topic.records[next->second].value)},
+                         {"offset", next->second}});
+    }
+    return reply(
+        200,
+        {{"items", items}, {"hasMore", next != topic.newest.end()}, {"end", topic.records.size()}});
+}
+
+http_response store_standin::read_response(const std::string& name, std::uint64_t from) {
+    const topic_state& topic = topics_[name];
+    if (from < topic.first_kept) {
+        return reply(410, {{"first", topic.first_kept}});
+    }
+    http_response response;
+    response.content_type = "application/octet-stream";
+    response.body = big_endian(topic.records.size(), 8) + big_endian(topic.first_kept, 8);
+    for (std::uint64_t i = from; i < topic.records.size(); ++i) {
+        const record& r = topic.records[i];
+        response.body += big_endian(1 + r.key.size() + r.value.size(), 4);
+        response.body += big_endian(r.key.size(), 1) + r.key + r.value;
+    }
+    return response;
+}
+
+void store_standin::read(const http_request& request, std::uint64_t token) {
+    const std::string topic = query_value(request.query, "topic");
+    const auto from = static_cast<std::uint64_t>(query_number(request.query, "from", 0));
+    const time_ms wait = query_number(request.query, "waitMs", 0);
+    const topic_state& state = topics_[topic];
+    if (wait == 0 || from < state.records.size() || from < state.first_kept) {
+        answer(token, read_response(topic, from));
+    } else {
+        waiting_[token] = {topic, from, monotonic_now() + wait};
+    }
+}
+
+void store_standin::answer_waiting() {
+    if (mode_ == store_mode::silent) {
+        return;
+    }
+    std::vector<std::pair<std::uint64_t, waiting_read>> due;
+    for (const auto& [token, reader] : waiting_) {
+        const topic_state& topic = topics_[reader.topic];
+        if (mode_ == store_mode::busy || topic.records.size() > reader.from ||
+            monotonic_now() >= reader.answer_by) {
+            due.emplace_back(token, reader);
+        }
+    }
+    for (const auto& [token, reader] : due) {
+        waiting_.erase(token);
+        answer(token, mode_ == store_mode::busy ? reply(503, json::object())
+                                                : read_response(reader.topic, reader.from));
+    }
+}
+
+} // namespace fulmarworks::soak
--- /dev/null
+++ b/tests/soak/store_standin.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "base/json.h"
+#include "http/http_server.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fulmarworks::soak {
+
+/** How the stand-in for the platform's store treats calls. */
+enum class store_mode {
+    up,
+    busy,         // refuses every call
+    silent,       // does nothing and doesn't answer
+    slow,         // answers after a delay
+    lose_answers, // carries appends out and doesn't answer them
+    late,         // answers no append and carries it out after a delay
+};
+
+/**
+ * The platform's log store in memory, as its protocol describes it: keyed topics, conditional and
+ * fenced appends, reads that wait, expiring history. Not thread safe.
+ */
+class store_standin {
+public:
+    explicit store_standin(event_loop& loop);
+
+    [[nodiscard]] result<bool> listen(const std::string& address);
+
+    /** Writes as the operator or a worker does, whatever the mode; an empty value deletes. */
+    void put(const std::string& topic, const std::string& key, const std::string& value);
+
+    void set_mode(store_mode mode, time_ms delay_ms);
+
+    /** Calls `action` once, before the next page of newest records of the topic is made. */
+    void before_newest(const std::string& topic, std::function<void()> action);
+
+    /** Returns the newest value of a key; nothing if the key was deleted or never written. */
+    [[nodiscard]] std::optional<std::string> newest_of(const std::string& topic,
+                                                       const std::string& key) const;
+
+    /** Drops all history; the newest record of each key stays. */
+    void forget_history();
+
+private:
+    struct record {
+        std::string key;
+        std::string value;
+    };
+
+    /** Position of one producer, and its newest answers for repeated appends. */
+    struct producer_state {
+        std::uint64_t epoch = 0;
+        std::uint64_t sequence = 0;
+        std::map<std::uint64_t, std::string> answers;
+    };
+
+    struct topic_state {
+        std::vector<record> records;
+        std::uint64_t first_kept = 0;
+        std::map<std::string, std::uint64_t> newest;
+        std::map<std::string, producer_state> producers;
+    };
+
+    struct waiting_read {
+        std::string topic;
+        std::uint64_t from = 0;
+        time_ms answer_by = 0;
+    };
+
+    void handle(const http_request& request, std::uint64_t token);
+    void answer(std::uint64_t token, const http_response& response);
+    http_response append(const http_request& request);
+    http_response newest(const http_request& request);
+    void read(const http_request& request, std::uint64_t token);
+    [[nodiscard]] http_response read_response(const std::string& topic, std::uint64_t from);
+    void add(topic_state& topic, std::string key, std::string value);
+    void answer_waiting();
+
+    event_loop& loop_;
+    store_mode mode_ = store_mode::up;
+    time_ms delay_ms_ = 0;
+    std::map<std::string, topic_state> topics_;
+    std::map<std::uint64_t, waiting_read> waiting_;
+    std::map<std::string, std::function<void()>> before_newest_;
+    std::unique_ptr<http_server> server_;
+};
+
+} // namespace fulmarworks::soak
