Count a task that saves its state at a stop as cheap to preempt

Cause: a stop makes a checkpoint, so such a task loses only the time to resume; it was counted with a second of work, and newer tasks that lose everything were stopped instead. Change: 250 ms, the longer of the sites' resume times. Test: an urgent job over a full cluster; before, the task without checkpoints was stopped.

--- a/libs/scheduler/src/preemption.cpp
+++ b/libs/scheduler/src/preemption.cpp
@@ -11,15 +11,15 @@
 
 /** Weight of a core against an accelerator when work is thrown away, from the platform's prices. */
 constexpr double accelerator_cores = 8;
-/** Work that a task with checkpoints loses at most, on average, when it is stopped. */
-constexpr time_ms work_since_checkpoint_ms = 1000;
+/** A stop makes a checkpoint, so such a task loses only the time to resume from it. */
+constexpr time_ms resume_ms = 250;
 /** Fixed cost of stopping and starting a task again. */
 constexpr double restart_cost = 500;
 
 double loss_of(const task& t, const step_spec& spec, time_ms now_ms) {
     time_ms lost = std::max<time_ms>(0, now_ms - t.started_at_ms);
     if (spec.checkpoints) {
-        lost = std::min(lost, work_since_checkpoint_ms);
+        lost = std::min(lost, resume_ms);
     }
     const double cores = static_cast<double>(spec.per_task.cpu_millis) / 1000 +
                          accelerator_cores * static_cast<double>(spec.per_task.accelerators);
--- a/libs/scheduler/tests/coordinator_test.cpp
+++ b/libs/scheduler/tests/coordinator_test.cpp
@@ -226,3 +226,27 @@
     f.answer_poll(orders[1].where.id, {}, {{1, orders[1].task, 1, end_reason::done, ""}});
     CHECK(f.take_all<send_start>().size() == 1);
 }
+
+// Load it answers: an urgent burst over a cluster full of long work, of which some saves its state
+// when it is stopped.
+TEST_CASE("preemption stops work that saves its state rather than newer work that would be lost") {
+    coordinator_fixture f;
+    f.add_worker("w1");
+    f.add_worker("w2");
+    auto saving = f.make_job("saving", 1, whole_worker);
+    saving.steps[0].checkpoints = true;
+    f.send(job_submitted{saving});
+    const auto first = f.take<send_start>();
+    REQUIRE(first);
+    f.accept(*first);
+    f.advance(2000);
+    f.send(job_submitted{f.make_job("lost", 1, whole_worker)});
+    const auto second = f.take<send_start>();
+    REQUIRE(second);
+    f.accept(*second);
+    f.advance(500);
+    f.send(job_submitted{f.make_job("urgent", 1, whole_worker, 0)});
+    const auto stop = f.take<send_stop>();
+    REQUIRE(stop);
+    CHECK(stop->task.job == "saving");
+}
