--- a/build.sh
+++ b/build.sh
@@ -18,7 +18,8 @@
   test [--sanitize]         build, check format and lint, run all tests
   demo [vormpulp|kopjeskraal]   run a deployment on loopback and check every outcome
   bench [policy|decisions|capacity|plot]  run benchmarks, writing CSV to build/bench
-  soak --seed N --minutes M longer seeded random fault run
+  soak --seed N --minutes M      random faults against real entry hosts (--seeds, --logs, --verbose)
+  soak-reducers --seed N --minutes M  the same for `serve`, in virtual time
   format                    reformat the sources
 USAGE
 }
@@ -73,7 +74,8 @@
 test) run_tests "$@" ;;
 demo) build && exec "$BUILD_DIR/tests/demo/demo" "${1:-vormpulp}" ;;
 bench) build && exec benchmarks/run.sh "$BUILD_DIR" "$@" ;;
-soak) build && exec "$BUILD_DIR/tests/fault_soak" "$@" ;;
+soak) build && exec "$BUILD_DIR/tests/soak/platform_soak" "$@" ;;
+soak-reducers) build && exec "$BUILD_DIR/tests/reducers/fault_soak" "$@" ;;
 format) sources | xargs clang-format -i ;;
 *) usage; exit 2 ;;
 esac
--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -16,6 +16,8 @@
 
 struct job_loader::impl : std::enable_shared_from_this<impl> {
     job_loader_context context;
+    bool progress_complete = false;
+    bool submissions_complete = false;
     bool loaded = false;
     std::unordered_map<std::string, std::string> progress;
     std::unordered_map<std::string, std::string> submitted;
@@ -94,13 +96,14 @@
         if (page.has_more && !page.records.empty()) {
             load_page(page.records.back().key);
         } else {
-            read_missing_submissions();
+            progress_complete = true;
+            finish_if_complete();
         }
     }
 
     /**
-     * Reads the submissions once more. Nobody else can write progress any more, so every job whose
-     * progress was read is known after this.
+     * Reads the submissions once more. All progress that there is was written before the earlier
+     * writer was fenced, so every job that it tells of is known after this.
      */
     void read_missing_submissions() {
         if (!submissions->loaded()) {
@@ -113,7 +116,8 @@
                 return;
             }
             if (ok) {
-                alive->finish();
+                alive->submissions_complete = true;
+                alive->finish_if_complete();
             } else {
                 alive->later([](impl& i) { i.read_missing_submissions(); });
             }
@@ -134,7 +138,10 @@
                            });
     }
 
-    void finish() {
+    void finish_if_complete() {
+        if (!progress_complete || !submissions_complete || loaded) {
+            return;
+        }
         loaded_jobs found;
         for (auto& [id, data] : submitted) {
             if (data.empty()) {
@@ -168,6 +175,7 @@
 
 void job_loader::load_progress() {
     impl_->load_page("");
+    impl_->read_missing_submissions();
 }
 
 void job_loader::catch_up(std::function<void(bool)> done) {
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -7,9 +7,6 @@
 /** Pause after a failed read. */
 constexpr time_ms retry_pause_ms = 100;
 
-/** Sorts behind all keys in use, which are printable. */
-constexpr std::string_view after_every_key = "~~";
-
 } // namespace
 
 struct topic_follower::impl : std::enable_shared_from_this<impl> {
@@ -22,6 +19,10 @@
      */
     bool failing = false;
     std::uint64_t next = 0;
+    /**
+     * End of the log as of the first page. Pages are no snapshot: a key that is written again while
+     * they are read can be missing from all of them, so everything after this end is read again.
+     */
     std::uint64_t first_end = 0;
     time_ms confirmed_at = 0;
     std::vector<platform::logged_record> page_records;
@@ -61,22 +62,16 @@
                      });
     }
 
-    /**
-     * Pages are no snapshot: a key that is written again while they are read can be missing from
-     * all of them. So the end of the log is asked for first, and everything after it is read again.
-     */
     void load() {
         page_records.clear();
-        const time_ms began_at = boottime_now();
-        newest(std::string(after_every_key),
-               [began_at](impl& i, const platform::newest_outcome& page) {
-                   i.first_end = page.end;
-                   i.load_page("", began_at);
-               });
+        load_page("", boottime_now());
     }
 
     void load_page(const std::string& after, time_ms began_at) {
-        newest(after, [began_at](impl& i, const platform::newest_outcome& page) {
+        newest(after, [after, began_at](impl& i, const platform::newest_outcome& page) {
+            if (after.empty()) {
+                i.first_end = page.end;
+            }
             i.page_loaded(page, began_at);
         });
     }
