--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -19,21 +19,8 @@
 /** An append that forgets jobs isn't urgent: the coordinator asks again if it fails. */
 constexpr time_ms forget_timeout_ms = 1000;
 
-std::string_view name_of(scheduler::job_state state) {
-    switch (state) {
-    case scheduler::job_state::queued: return "queued";
-    case scheduler::job_state::running: return "running";
-    case scheduler::job_state::completed: return "completed";
-    case scheduler::job_state::failed: return "failed";
-    case scheduler::job_state::cancelled: return "cancelled";
-    }
-    return "";
-}
-
 scheduler::job_state shown_state(const scheduler::job& j) {
-    const bool final_state = j.visible_state != scheduler::job_state::queued &&
-                             j.visible_state != scheduler::job_state::running;
-    if (final_state) {
+    if (scheduler::is_final(j.visible_state)) {
         return j.visible_state;
     }
     return j.started ? scheduler::job_state::running : scheduler::job_state::queued;
--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -6,12 +6,21 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fulmarworks::scheduler {
 
 enum class job_state { queued, running, completed, failed, cancelled };
 
+/** Returns whether a job in this state has ended. Thread safe. */
+[[nodiscard]] constexpr bool is_final(job_state state) {
+    return state != job_state::queued && state != job_state::running;
+}
+
+/** Returns the name that callers and log lines show. Thread safe. */
+[[nodiscard]] std::string_view name_of(job_state state);
+
 enum class task_phase {
     idle,      // waits for its turn or for room
     placed,    // has a worker; the decision is not stored yet
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -141,9 +141,8 @@
 }
 
 bool may_be_forgotten(const job& j, const coordinator_state& state, time_ms now_ms) {
-    const bool final_state =
-        j.visible_state != job_state::queued && j.visible_state != job_state::running;
-    return j.ended() && final_state && now_ms - j.ended_at_ms >= state.limits.status_retention_ms &&
+    return j.ended() && is_final(j.visible_state) &&
+           now_ms - j.ended_at_ms >= state.limits.status_retention_ms &&
            !state.dirty.contains(j.spec.id) && !state.unreadable.contains(j.spec.id);
 }
 
@@ -254,7 +253,7 @@
             state.unreadable.insert(j->spec.id);
         }
         j->visible_state = derive_state(*j);
-        if (j->visible_state != job_state::queued && j->visible_state != job_state::running) {
+        if (is_final(j->visible_state)) {
             j->ended_at_ms = now.monotonic_ms;
         }
         book_assignments(state, *j, now.monotonic_ms, horizon);
--- a/libs/scheduler/src/job.cpp
+++ b/libs/scheduler/src/job.cpp
@@ -4,6 +4,17 @@
 
 namespace fulmarworks::scheduler {
 
+std::string_view name_of(job_state state) {
+    switch (state) {
+    case job_state::queued: return "queued";
+    case job_state::running: return "running";
+    case job_state::completed: return "completed";
+    case job_state::failed: return "failed";
+    case job_state::cancelled: return "cancelled";
+    }
+    return "invalid";
+}
+
 bool occurrence::complete() const {
     return std::all_of(steps.begin(), steps.end(), [](const auto& s) { return s.complete(); });
 }
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -133,17 +133,6 @@
     return "invalid";
 }
 
-std::string_view name_of(job_state state) {
-    switch (state) {
-    case job_state::queued: return "queued";
-    case job_state::running: return "running";
-    case job_state::completed: return "completed";
-    case job_state::failed: return "failed";
-    case job_state::cancelled: return "cancelled";
-    }
-    return "invalid";
-}
-
 } // namespace
 
 void note(reduction& r, std::string name, std::string fields) {
@@ -259,7 +248,7 @@
     }
     touch(r, owner);
     const job_state state = derive_state(owner);
-    if (!owner.ended() && state != job_state::queued && state != job_state::running) {
+    if (!owner.ended() && is_final(state)) {
         end_job(r, owner);
     }
 }
