--- a/libs/scheduler/tests/coordinator_test.cpp
+++ b/libs/scheduler/tests/coordinator_test.cpp
@@ -204,7 +204,7 @@
 
 // Found by the fault soak, seed 18: the members of a gang end together, but not in the same
 // millisecond, and room that was taken for free was still in use.
-TEST_CASE("nothing starts in the room of a gang's member before its own worker has listed its end") {
+TEST_CASE("nothing starts in the room of a gang member before its worker has listed its end") {
     coordinator_fixture f;
     f.add_worker("w1");
     f.add_worker("w2");
