Bar runs at a worker's new life before their tasks move

A worker restarted under its id; within the 0.3 s until its registry entry was read, starts for the old life reached the new one, which has the same id and accepted them. Then the entry showed the new life, and everything ordered there was taken for ended. Ruled out: late orders (another worker), pauses of hosts (the leader was not paused). Change: runs that the old life had listed, or that were confirmed before it was last known to be alive, end with it. Any other run is stopped at the new life, which bars it there, and its task waits for that or for the longest lease that the new life can grant.

--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -78,6 +78,8 @@
     std::uint32_t failed_polls = 0;
     time_ms poll_sent_at_ms = 0;
     time_ms answered_at_ms = 0;
+    /** Newest moment at which the current life is known to have been alive. */
+    time_ms alive_at_ms = 0;
     /** A pair of readings of the worker's clock and ours, for conversion. */
     time_ms clock_reference_ms = 0;
     time_ms clock_reference_at_ms = 0;
--- a/libs/scheduler/src/worker_links.cpp
+++ b/libs/scheduler/src/worker_links.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace fulmarworks::scheduler {
 
@@ -10,17 +11,49 @@
 /** A worker that refuses for want of room or health gets nothing new for this long. */
 constexpr time_ms refusal_pause_ms = 500;
 
-/** A new incarnation knows nothing of before: whatever ran on the old one has ended. */
+/** Returns whether a run that was ordered from the earlier life may have begun in the new one. */
+bool may_run_in_new_life(const task& t, const worker& w) {
+    switch (t.phase) {
+    case task_phase::placed: return false;
+    case task_phase::running: return t.confirmed_at_ms >= w.alive_at_ms;
+    default: return true;
+    }
+}
+
+/**
+ * A new incarnation knows nothing of before: whatever ran on the old one has ended. An order that
+ * was on its way may have been carried out by the new one, as both have one id; such a run is
+ * barred there before its task starts elsewhere.
+ */
 void begin_life(reduction& r, worker& w, time_ms born_ms) {
     note(r, "worker_restarted",
          "worker=" + w.report.life.id + " born_ms=" + std::to_string(born_ms));
     w.report.life.born_ms = born_ms;
-    release_all(r, w, "worker_restarted");
+    const auto assigned = w.assigned;
+    for (const auto& id : assigned) {
+        const task_place place = find_task(r.state, id);
+        if (!place || !is_assigned(place.item->phase)) {
+            w.assigned.erase(id);
+        } else if (may_run_in_new_life(*place.item, w)) {
+            task& t = *place.item;
+            t.where.born_ms = born_ms;
+            t.stop_confirmed_at_ms = 0;
+            t.start_expires_at_worker_ms = std::numeric_limits<time_ms>::max();
+            t.phase = task_phase::ordered;
+            stop_task(r, id, place, "worker_restarted");
+        } else {
+            release_task(r, id, place, "worker_restarted");
+        }
+    }
+    w.strays.clear();
     w.applied_sequence = 0;
     w.stored_sequence = 0;
     w.lease_ends_at_worker_ms = 0;
-    w.lease_horizon_ms = 0;
+    // Deadlines of the old life's clock mean nothing to the new one, which grants at most this.
+    const time_ms longest = r.state.limits.max_lease_ms;
+    w.lease_horizon_ms = w.assigned.empty() ? 0 : longest_grant_end(r.now.monotonic_ms, longest);
     w.clock_reference_ms = 0;
+    w.alive_at_ms = 0;
     w.blamed_by.clear();
     w.quarantined_until_ms = 0;
 }
@@ -230,6 +263,7 @@
     w.verified = true;
     w.failed_polls = 0;
     w.answered_at_ms = r.now.monotonic_ms;
+    w.alive_at_ms = std::max(w.alive_at_ms, answer.sent_at_ms);
     set_clock_reference(w, answer.status.clock_ms, r.now.monotonic_ms);
     apply_ends(r, w, answer.status.ended);
     compare_lists(r, w, answer);
--- a/libs/scheduler/src/worker_links.h
+++ b/libs/scheduler/src/worker_links.h
@@ -13,6 +13,10 @@
 /** Returns the time after which no lease is alive that was granted until `granted_until_ms`. */
 [[nodiscard]] time_ms longest_lease_end(const settings& limits, time_ms granted_until_ms);
 
+/** Returns the time after which a lease of `lease_ms` that was granted at `granted_at_ms` has run
+ * out, also by the slowest clock. */
+[[nodiscard]] time_ms longest_grant_end(time_ms granted_at_ms, time_ms lease_ms);
+
 /** Takes over what a worker's entry in the registry says. */
 void apply_report(reduction& r, const worker_report& report);
 
--- a/libs/scheduler/src/worker_upkeep.cpp
+++ b/libs/scheduler/src/worker_upkeep.cpp
@@ -112,8 +112,11 @@
 } // namespace
 
 time_ms longest_lease_end(const settings& limits, time_ms granted_until_ms) {
-    const time_ms lease = std::min(granted_lease_ms, limits.max_lease_ms);
-    return granted_until_ms + lease + lease / clock_tolerance_divisor + lease_margin_ms;
+    return longest_grant_end(granted_until_ms, std::min(granted_lease_ms, limits.max_lease_ms));
+}
+
+time_ms longest_grant_end(time_ms granted_at_ms, time_ms lease_ms) {
+    return granted_at_ms + lease_ms + lease_ms / clock_tolerance_divisor + lease_margin_ms;
 }
 
 void maintain_workers(reduction& r) {
--- a/libs/scheduler/tests/coordinator_test.cpp
+++ b/libs/scheduler/tests/coordinator_test.cpp
@@ -250,3 +250,48 @@
     REQUIRE(stop);
     CHECK(stop->task.job == "saving");
 }
+
+// Found by the fault soak, seed 142: a worker restarts under its id, and the start that was on its
+// way to the old life begins in the new one.
+TEST_CASE("a start that a restarted worker may have carried out is barred before the task moves") {
+    coordinator_fixture f;
+    f.add_worker("w1");
+    f.send(job_submitted{f.make_job("a", 1, one_accelerator)});
+    const auto order = f.take<send_start>();
+    REQUIRE(order);
+    f.add_worker("w2");
+    f.accept(*order);
+    f.now.monotonic_ms += 10;
+    f.answer_poll("w1", {{{"a", 0, 0, 0}, 1, "", 0}}, {}, -1, 2);
+    CHECK(f.first_task("a").run == 1);
+    CHECK(f.first_task("a").where.id == "w1");
+    REQUIRE(f.take<send_stop>());
+    f.answer_poll("w1", {}, {{1, {"a", 0, 0, 0}, 1, end_reason::stopped, ""}}, -1, 2);
+    CHECK(f.first_task("a").run == 2);
+}
+
+TEST_CASE("a start that may be carried out by a new life of a silent worker blocks its task") {
+    coordinator_fixture f;
+    f.add_worker("w1");
+    f.send(job_submitted{f.make_job("a", 1, one_accelerator)});
+    f.add_worker("w2");
+    auto report = f.make_report("w1");
+    report.life.born_ms = 2;
+    f.send(worker_reported{report});
+    f.send(poll_failed{"w1", order_failure::no_answer});
+    f.advance(5900);
+    CHECK(f.first_task("a").where.id == "w1");
+    f.advance(600);
+    CHECK(f.first_task("a").where.id == "w2");
+}
+
+TEST_CASE("a run that the earlier life of a worker has listed ends with that life") {
+    coordinator_fixture f;
+    run_one_task(f);
+    f.now.monotonic_ms += 10;
+    f.answer_poll("w1", {{{"a", 0, 0, 0}, 1, "", 10}});
+    f.now.monotonic_ms += 10;
+    f.answer_poll("w1", {}, {}, -1, 2);
+    CHECK_FALSE(f.take<send_stop>());
+    CHECK(f.first_task("a").run == 2);
+}
