One wrapper for callbacks that may outlive their owner

Eight objects of libs/node repeated the same weak pointer, lock and retry by hand, in two spellings. callback_owner holds it once. The loader's catch-up keeps its own form, as its answer must come also after the loader is gone: a caller may wait for it.

lease_age_ms of the peers' view was written and never read; it is gone.

--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "caller_api.h"
 
 #include "base/json.h"
+#include "callback_owner.h"
 #include "platform/documents.h"
 #include "scheduler/codec.h"
 
@@ -86,7 +87,7 @@
 
 } // namespace
 
-struct caller_api::impl : std::enable_shared_from_this<impl> {
+struct caller_api::impl : callback_owner<impl> {
     caller_context context;
 
     explicit impl(caller_context c) : context(std::move(c)) {}
@@ -116,15 +117,6 @@
         respond_handler respond;
     };
 
-    template <class Step>
-    void later(time_ms delay_ms, Step step) {
-        context.loop.after(delay_ms, [self = weak_from_this(), step = std::move(step)] {
-            if (const auto alive = self.lock()) {
-                step(*alive);
-            }
-        });
-    }
-
     /**
      * Refuses with when to come back. An outage that has lasted for a while is likely to last as
      * long again, so callers come back later the longer it has lasted; each has only a few retries.
@@ -179,22 +171,17 @@
         append.records = {{open->id, open->record}};
         append.timeout_ms =
             std::clamp(open->give_up_at - boottime_now(), shortest_attempt_ms, append_timeout_ms);
-        context.store.append(
-            append, [self = weak_from_this(), open](const platform::append_outcome& outcome) {
-                if (const auto alive = self.lock()) {
-                    alive->store_done(open, outcome.status);
-                }
-            });
+        context.store.append(append,
+                             guarded([open](impl& i, const platform::append_outcome& outcome) {
+                                 i.store_done(open, outcome.status);
+                             }));
     }
 
     void store_through_peer(const std::shared_ptr<submission>& open) {
-        context.others.append_submission(
-            open->id, open->record,
-            [self = weak_from_this(), open](platform::store_status outcome) {
-                if (const auto alive = self.lock()) {
-                    alive->store_done(open, outcome);
-                }
-            });
+        context.others.append_submission(open->id, open->record,
+                                         guarded([open](impl& i, platform::store_status outcome) {
+                                             i.store_done(open, outcome);
+                                         }));
     }
 
     void store_done(const std::shared_ptr<submission>& open, platform::store_status outcome) {
@@ -212,7 +199,7 @@
         open->undecided = open->undecided || outcome == platform::store_status::no_answer;
         context.counters.count("store_retries_total", "call", "submission");
         if (now < (open->undecided ? open->give_up_at : open->refuse_at)) {
-            later(retry_pause_ms, [open](impl& i) { i.store(open); });
+            later(context.loop, retry_pause_ms, [open](impl& i) { i.store(open); });
             return;
         }
         if (open->undecided) {
@@ -224,11 +211,8 @@
 
     void ask(const std::shared_ptr<question>& q) {
         if (leader* term = context.own_term()) {
-            q->ask(*term, [self = weak_from_this(), q](const http_response& response) {
-                if (const auto alive = self.lock()) {
-                    alive->asked(q, response);
-                }
-            });
+            q->ask(*term,
+                   guarded([q](impl& i, const http_response& response) { i.asked(q, response); }));
             return;
         }
         const std::string address = context.leader_address();
@@ -241,13 +225,12 @@
         call.address = address;
         call.target = q->target;
         call.timeout_ms = forward_timeout_ms;
-        context.http.send(call, [self = weak_from_this(), q](const http_answer& answer) {
-            if (const auto alive = self.lock()) {
-                http_response response = answer.status == 0 ? unavailable() : plain(answer.status);
-                response.body = answer.body.empty() ? "{}" : answer.body;
-                alive->asked(q, response);
-            }
-        });
+        context.http.send(call, guarded([q](impl& i, const http_answer& answer) {
+                              http_response response =
+                                  answer.status == 0 ? unavailable() : plain(answer.status);
+                              response.body = answer.body.empty() ? "{}" : answer.body;
+                              i.asked(q, response);
+                          }));
     }
 
     void asked(const std::shared_ptr<question>& q, const http_response& response) {
@@ -255,7 +238,7 @@
         if (!final_answer && boottime_now() < q->give_up_at) {
             context.counters.count("leader_retries_total", "status",
                                    std::to_string(response.status));
-            later(retry_pause_ms, [q](impl& i) { i.ask(q); });
+            later(context.loop, retry_pause_ms, [q](impl& i) { i.ask(q); });
             return;
         }
         if (!final_answer) {
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "node/entry_node.h"
 
+#include "callback_owner.h"
 #include "caller_api.h"
 #include "leader.h"
 #include "lease_keeper.h"
@@ -30,7 +31,7 @@
 
 } // namespace
 
-struct entry_node::impl : std::enable_shared_from_this<impl> {
+struct entry_node::impl : callback_owner<impl> {
     event_loop& loop;
     node_settings settings;
     decision_log log;
@@ -120,16 +121,7 @@
                                                                     [this] { update_term(); }});
         follow_members();
         register_member();
-        later(tick_ms, [](impl& i) { i.tick(); });
-    }
-
-    template <class Step>
-    void later(time_ms delay_ms, Step step) {
-        loop.after(delay_ms, [self = weak_from_this(), step] {
-            if (const auto alive = self.lock()) {
-                step(*alive);
-            }
-        });
+        later(loop, tick_ms, [](impl& i) { i.tick(); });
     }
 
     /** Returns the configuration, unless a newer one may be in force elsewhere already. */
@@ -158,7 +150,6 @@
         if (lease->state().newest) {
             view.lease = lease->state().newest;
             view.lease_offset = lease->state().newest_offset;
-            view.lease_age_ms = now - lease->state().newest_read_at_ms;
         }
         return view;
     }
@@ -208,12 +199,12 @@
         platform::append_request request;
         request.where = platform::topic::members;
         request.records = {{settings.internal_address(), std::to_string(settings.cpu_share)}};
-        store.append(request, [self = weak_from_this()](const platform::append_outcome& outcome) {
-            const auto alive = self.lock();
-            if (alive && outcome.status != platform::store_status::ok) {
-                alive->later(member_interval_ms, [](impl& i) { i.register_member(); });
-            }
-        });
+        store.append(request, guarded([](impl& i, const platform::append_outcome& outcome) {
+                         if (outcome.status != platform::store_status::ok) {
+                             i.later(i.loop, member_interval_ms,
+                                     [](impl& again) { again.register_member(); });
+                         }
+                     }));
     }
 
     bool ready() const { return !stopping && in_force() != nullptr; }
@@ -318,7 +309,7 @@
         if (stopping) {
             continue_stopping();
         }
-        later(tick_ms, [](impl& i) { i.tick(); });
+        later(loop, tick_ms, [](impl& i) { i.tick(); });
     }
 
     void continue_stopping() {
--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -1,5 +1,6 @@
 #include "job_loader.h"
 
+#include "callback_owner.h"
 #include "scheduler/codec.h"
 #include "topic_follower.h"
 
@@ -14,7 +15,7 @@
 
 } // namespace
 
-struct job_loader::impl : std::enable_shared_from_this<impl> {
+struct job_loader::impl : callback_owner<impl> {
     job_loader_context context;
     bool progress_complete = false;
     bool submissions_complete = false;
@@ -25,24 +26,6 @@
 
     explicit impl(job_loader_context c) : context(std::move(c)) {}
 
-    template <class Step>
-    void later(Step step) {
-        context.loop.after(retry_pause_ms, [self = weak_from_this(), step] {
-            if (const auto alive = self.lock()) {
-                step(*alive);
-            }
-        });
-    }
-
-    template <class Handler>
-    auto guarded(Handler handler) {
-        return [self = weak_from_this(), handler](const auto& value) {
-            if (const auto alive = self.lock()) {
-                handler(*alive, value);
-            }
-        };
-    }
-
     void follow() {
         follower_options options;
         options.where = platform::topic::submissions;
@@ -87,7 +70,7 @@
 
     void page_loaded(const platform::newest_outcome& page, const std::string& after) {
         if (page.status != platform::store_status::ok) {
-            later([after](impl& i) { i.load_page(after); });
+            later(context.loop, retry_pause_ms, [after](impl& i) { i.load_page(after); });
             return;
         }
         for (const auto& record : page.records) {
@@ -107,26 +90,28 @@
      */
     void read_missing_submissions() {
         if (!submissions->loaded()) {
-            later([](impl& i) { i.read_missing_submissions(); });
+            read_missing_submissions_later();
             return;
         }
-        catch_up([self = weak_from_this()](bool ok) {
-            const auto alive = self.lock();
-            if (!alive) {
-                return;
-            }
+        catch_up(guarded([](impl& i, bool ok) {
             if (ok) {
-                alive->submissions_complete = true;
-                alive->finish_if_complete();
+                i.submissions_complete = true;
+                i.finish_if_complete();
             } else {
-                alive->later([](impl& i) { i.read_missing_submissions(); });
+                i.read_missing_submissions_later();
             }
-        });
+        }));
+    }
+
+    void read_missing_submissions_later() {
+        later(context.loop, retry_pause_ms, [](impl& i) { i.read_missing_submissions(); });
     }
 
-    void catch_up(const std::function<void(bool)>& done) {
+    /** Unlike other callbacks `done` is always called, as a caller may wait for it. */
+    void catch_up(std::function<void(bool)> done) {
         context.store.read(platform::topic::submissions, submissions->end(), 0,
-                           [self = weak_from_this(), done](const platform::read_outcome& outcome) {
+                           [self = weak_from_this(),
+                            done = std::move(done)](const platform::read_outcome& outcome) {
                                const auto alive = self.lock();
                                const bool ok = outcome.status == platform::store_status::ok;
                                if (alive && ok) {
@@ -179,7 +164,7 @@
 }
 
 void job_loader::catch_up(std::function<void(bool)> done) {
-    impl_->catch_up(done);
+    impl_->catch_up(std::move(done));
 }
 
 } // namespace fulmarworks::node
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -1,5 +1,6 @@
 #include "leader.h"
 
+#include "callback_owner.h"
 #include "job_loader.h"
 #include "platform/documents.h"
 #include "progress_writer.h"
@@ -32,7 +33,7 @@
 
 } // namespace
 
-struct leader::impl : std::enable_shared_from_this<impl> {
+struct leader::impl : callback_owner<impl> {
     leader_context context;
     platform::worker_client workers;
     std::uint64_t epoch = 0;
@@ -40,7 +41,6 @@
     scheduler::guarantees accounts;
     std::function<void()> on_deposed;
 
-    bool stopped = false;
     bool fenced_out = false;
     time_ms began_at = 0;
 
@@ -58,25 +58,6 @@
 
     explicit impl(const leader_context& c) : context(c), workers(c.http) {}
 
-    template <class Step>
-    void later(time_ms delay_ms, Step step) {
-        context.loop.after(delay_ms, [self = weak_from_this(), step] {
-            if (const auto alive = self.lock(); alive && !alive->stopped) {
-                step(*alive);
-            }
-        });
-    }
-
-    /** Wraps a handler so that it is skipped once the term has ended. */
-    template <class Handler>
-    auto guarded(Handler handler) {
-        return [self = weak_from_this(), handler](const auto& value) {
-            if (const auto alive = self.lock(); alive && !alive->stopped) {
-                handler(*alive, value);
-            }
-        };
-    }
-
     void begin() {
         began_at = boottime_now();
         workers.set_fencing_token(epoch);
@@ -87,7 +68,7 @@
             [this] { jobs->load_progress(); }, [this] { handle(scheduler::records_stored{}); },
             [this] { depose("store_fenced"); }});
         follow_registry();
-        later(tick_ms, [](impl& i) { i.tick(); });
+        later(context.loop, tick_ms, [](impl& i) { i.tick(); });
     }
 
     void depose(const char* reason) {
@@ -96,7 +77,7 @@
         }
         fenced_out = true;
         context.log.write("leader_deposed", "epoch=" + std::to_string(epoch) + " reason=" + reason);
-        later(0, [](impl& i) { i.on_deposed(); });
+        later(context.loop, 0, [](impl& i) { i.on_deposed(); });
     }
 
     void load_jobs() {
@@ -203,7 +184,7 @@
         if (state) {
             handle(scheduler::tick{});
         }
-        later(tick_ms, [](impl& i) { i.tick(); });
+        later(context.loop, tick_ms, [](impl& i) { i.tick(); });
     }
 
     void handle(const scheduler::event& e) {
@@ -306,7 +287,7 @@
 }
 
 leader::~leader() {
-    impl_->stopped = true;
+    impl_->end_callbacks();
     for (auto& [request, done] : impl_->cancels) {
         done({});
     }
@@ -334,7 +315,7 @@
     // The submission may be stored and not read yet.
     impl_->jobs->catch_up([self = std::weak_ptr<impl>(impl_), job, done](bool ok) {
         const auto alive = self.lock();
-        if (!alive || alive->stopped || !ok) {
+        if (!alive || alive->callbacks_ended() || !ok) {
             done({});
             return;
         }
@@ -350,7 +331,7 @@
 void leader::cancel(const std::string& job, std::function<void(const job_answer&)> done) {
     query(job, [self = std::weak_ptr<impl>(impl_), job, done](const job_answer& answer) {
         const auto alive = self.lock();
-        if (!alive || alive->stopped || !answer.known) {
+        if (!alive || alive->callbacks_ended() || !answer.known) {
             done(answer);
             return;
         }
--- a/libs/node/src/lease_keeper.cpp
+++ b/libs/node/src/lease_keeper.cpp
@@ -1,5 +1,6 @@
 #include "lease_keeper.h"
 
+#include "callback_owner.h"
 #include "topic_follower.h"
 
 #include <random>
@@ -18,7 +19,7 @@
 
 } // namespace
 
-struct lease_keeper::impl : std::enable_shared_from_this<impl> {
+struct lease_keeper::impl : callback_owner<impl> {
     lease_keeper_context context;
     std::mt19937_64 random{std::random_device{}()};
     leadership_state state;
@@ -73,14 +74,12 @@
         request.records = {{"leader", encode_lease(due->record)}};
         request.expected_end = due->expected_end;
         request.timeout_ms = write_timeout_ms;
-        context.store.append(
-            request, [self = weak_from_this()](const platform::append_outcome& outcome) {
-                if (const auto alive = self.lock()) {
-                    write_done(alive->state, boottime_now(),
-                               outcome.status == platform::store_status::ok, outcome.offset);
-                    alive->context.on_change();
-                }
-            });
+        context.store.append(request, guarded([](impl& i, const platform::append_outcome& outcome) {
+                                 write_done(i.state, boottime_now(),
+                                            outcome.status == platform::store_status::ok,
+                                            outcome.offset);
+                                 i.context.on_change();
+                             }));
     }
 };
 
--- a/libs/node/src/peers.cpp
+++ b/libs/node/src/peers.cpp
@@ -1,6 +1,7 @@
 #include "peers.h"
 
 #include "base/json.h"
+#include "callback_owner.h"
 
 #include <algorithm>
 
@@ -23,7 +24,6 @@
     if (v.lease) {
         j["lease"] = encode_lease(*v.lease);
         j["lease_offset"] = v.lease_offset;
-        j["lease_age_ms"] = v.lease_age_ms;
     }
     return j;
 }
@@ -46,7 +46,6 @@
             }
             v.lease = lease.value();
             v.lease_offset = j.at("lease_offset").get<std::uint64_t>();
-            v.lease_age_ms = j.at("lease_age_ms").get<time_ms>();
         }
         return v;
     } catch (const json::exception&) {
@@ -71,7 +70,7 @@
 
 } // namespace
 
-struct peers::impl : std::enable_shared_from_this<impl> {
+struct peers::impl : callback_owner<impl> {
     struct member {
         std::string address;
         time_ms failed_at = 0;
@@ -121,12 +120,10 @@
         call.address = m->address;
         call.target = std::string(view_path) + "?known=" + std::to_string(context.known_version());
         call.timeout_ms = view_timeout_ms;
-        context.http.send(
-            call, [self = weak_from_this(), address = m->address, now](const http_answer& answer) {
-                if (const auto alive = self.lock()) {
-                    alive->view_answered(address, answer, now);
-                }
-            });
+        context.http.send(call,
+                          guarded([address = m->address, now](impl& i, const http_answer& answer) {
+                              i.view_answered(address, answer, now);
+                          }));
     }
 
     void view_answered(const std::string& address, const http_answer& answer, time_ms sent_at) {
--- a/libs/node/src/peers.h
+++ b/libs/node/src/peers.h
@@ -24,7 +24,6 @@
     time_ms configuration_age_ms = 0;
     std::optional<lease_record> lease;
     std::uint64_t lease_offset = 0;
-    time_ms lease_age_ms = 0;
 };
 
 struct peer_context {
--- a/libs/node/src/progress_writer.cpp
+++ b/libs/node/src/progress_writer.cpp
@@ -1,5 +1,7 @@
 #include "progress_writer.h"
 
+#include "callback_owner.h"
+
 namespace fulmarworks::node {
 
 namespace {
@@ -9,22 +11,13 @@
 
 } // namespace
 
-struct progress_writer::impl : std::enable_shared_from_this<impl> {
+struct progress_writer::impl : callback_owner<impl> {
     progress_writer_context context;
     std::uint64_t sequence = 0;
     std::vector<platform::keyed_record> batch;
 
     explicit impl(progress_writer_context c) : context(std::move(c)) {}
 
-    template <class Step>
-    void later(Step step) {
-        context.loop.after(retry_pause_ms, [self = weak_from_this(), step] {
-            if (const auto alive = self.lock()) {
-                step(*alive);
-            }
-        });
-    }
-
     template <class Handler>
     void append(Handler handler) {
         platform::append_request request;
@@ -32,12 +25,7 @@
         request.records = batch;
         request.writer = platform::writer_position{context.epoch, sequence};
         request.timeout_ms = append_timeout_ms;
-        context.store.append(
-            request, [self = weak_from_this(), handler](const platform::append_outcome& outcome) {
-                if (const auto alive = self.lock()) {
-                    handler(*alive, outcome);
-                }
-            });
+        context.store.append(request, guarded(std::move(handler)));
     }
 
     /** Raises the store's epoch by an empty append. */
@@ -52,7 +40,7 @@
                    outcome.status == platform::store_status::out_of_sequence) {
             context.on_fenced_others();
         } else {
-            later([](impl& i) { i.fence(); });
+            later(context.loop, retry_pause_ms, [](impl& i) { i.fence(); });
         }
     }
 
@@ -74,7 +62,7 @@
             break;
         default: context.counters.count("store_retries_total", "call", "progress"); break;
         }
-        later([](impl& i) { i.store_batch(); });
+        later(context.loop, retry_pause_ms, [](impl& i) { i.store_batch(); });
     }
 };
 
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -1,5 +1,7 @@
 #include "topic_follower.h"
 
+#include "callback_owner.h"
+
 namespace fulmarworks::node {
 
 namespace {
@@ -9,11 +11,10 @@
 
 } // namespace
 
-struct topic_follower::impl : std::enable_shared_from_this<impl> {
+struct topic_follower::impl : callback_owner<impl> {
     event_loop& loop;
     platform::store_client& store;
     follower_options options;
-    bool stopped = false;
     bool loaded = false;
     /** The last read failed; the next one doesn't wait, so that it shows the store's return soon.
      */
@@ -30,15 +31,6 @@
     impl(event_loop& l, platform::store_client& s, follower_options o)
         : loop(l), store(s), options(std::move(o)) {}
 
-    template <class Step>
-    void later(time_ms delay_ms, Step step) {
-        loop.after(delay_ms, [self = weak_from_this(), step] {
-            if (const auto alive = self.lock(); alive && !alive->stopped) {
-                step(*alive);
-            }
-        });
-    }
-
     void report(bool ok) const {
         if (options.on_read) {
             options.on_read(ok);
@@ -48,18 +40,14 @@
     template <class Handler>
     void newest(const std::string& after, Handler handler) {
         store.newest(options.where, after,
-                     [self = weak_from_this(), handler](const platform::newest_outcome& page) {
-                         const auto alive = self.lock();
-                         if (!alive || alive->stopped) {
-                             return;
-                         }
+                     guarded([handler](impl& i, const platform::newest_outcome& page) {
                          if (page.status != platform::store_status::ok) {
-                             alive->report(false);
-                             alive->later(retry_pause_ms, [](impl& i) { i.load(); });
+                             i.report(false);
+                             i.later(i.loop, retry_pause_ms, [](impl& again) { again.load(); });
                              return;
                          }
-                         handler(*alive, page);
-                     });
+                         handler(i, page);
+                     }));
     }
 
     void load() {
@@ -95,17 +83,14 @@
     }
 
     void read() {
-        if (stopped) {
+        if (callbacks_ended()) {
             return;
         }
         const time_ms sent_at = boottime_now();
         store.read(options.where, next, failing ? 0 : options.wait_ms,
-                   [self = weak_from_this(), sent_at](const platform::read_outcome& outcome) {
-                       const auto alive = self.lock();
-                       if (alive && !alive->stopped) {
-                           alive->read_done(outcome, sent_at);
-                       }
-                   });
+                   guarded([sent_at](impl& i, const platform::read_outcome& outcome) {
+                       i.read_done(outcome, sent_at);
+                   }));
     }
 
     void read_done(const platform::read_outcome& outcome, time_ms sent_at) {
@@ -116,21 +101,21 @@
         failing = outcome.status != platform::store_status::ok;
         if (failing) {
             report(false);
-            later(retry_pause_ms, [](impl& i) { i.read(); });
+            later(loop, retry_pause_ms, [](impl& i) { i.read(); });
             return;
         }
         next = outcome.next;
         confirmed_at = sent_at;
         const auto alive = shared_from_this();
         for (const auto& record : outcome.records) {
-            if (stopped) {
+            if (callbacks_ended()) {
                 return;
             }
             options.on_record(record);
         }
         report(true);
         if (options.pause_ms > 0) {
-            later(options.pause_ms, [](impl& i) { i.read(); });
+            later(loop, options.pause_ms, [](impl& i) { i.read(); });
         } else {
             read();
         }
@@ -144,7 +129,7 @@
 }
 
 topic_follower::~topic_follower() {
-    impl_->stopped = true;
+    impl_->end_callbacks();
 }
 
 bool topic_follower::loaded() const {
