--- /dev/null
+++ b/benchmarks/decisions/busy_fleet.cpp
@@ -0,0 +1,151 @@
+#include "busy_fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <malloc.h>
+#include <utility>
+
+namespace fulmarworks::bench {
+
+using namespace fulmarworks::scheduler;
+
+namespace {
+
+constexpr int workers_per_rack = 8;
+constexpr int tasks_per_job = 10;
+constexpr int tasks_per_worker = 3;
+constexpr time_ms estimate_ms = 3'600'000;
+constexpr time_ms tick_ms = 20;
+/** Three such tasks fill a worker's memory and leave two accelerators of eight. */
+constexpr std::int64_t yielding_accelerators = 2;
+constexpr std::int64_t yielding_memory_mb = 80'000;
+
+} // namespace
+
+busy_fleet::busy_fleet(int workers) : workers_(workers) {
+    const std::size_t before = mallinfo2().uordblks;
+    for (int i = 0; i < workers; ++i) {
+        worker_report report;
+        report.life = {"worker-" + std::to_string(i), 1};
+        report.address = "10.0.0.1:1";
+        report.pool = "pool";
+        report.rack = "rack-" + std::to_string(i / workers_per_rack);
+        report.capacity = {128'000, 262'144, 8};
+        send(worker_reported{report});
+    }
+    tick();
+    // Nothing is planned while a batch is open, so that one plan places all of the first jobs.
+    state_.store_open = true;
+    const int jobs = workers * tasks_per_worker / tasks_per_job;
+    for (int i = 0; i < jobs; ++i) {
+        send(job_submitted{
+            make_job("long-" + std::to_string(i), 1, tasks_per_job, yielding_accelerators, false)});
+    }
+    send(records_stored{});
+    settle();
+    (void)take_durations();
+    state_bytes = mallinfo2().uordblks - before;
+}
+
+void busy_fleet::add_backlog(int jobs) {
+    for (int i = 0; i < jobs; ++i) {
+        send(job_submitted{make_job("waiting-" + std::to_string(i), 2, 2, 8, false)});
+        settle();
+    }
+    (void)take_durations();
+}
+
+job_spec busy_fleet::make_job(const std::string& id, int priority, int tasks,
+                              std::int64_t accelerators, bool gang) const {
+    job_spec spec;
+    spec.id = id;
+    spec.account = "account-" + std::to_string(priority);
+    spec.queue = "queue";
+    spec.terms = {"pool", priority, 2, 3, 1000};
+    spec.accepted_wall_ms = now_.wall_ms;
+    step_spec step;
+    step.task_count = static_cast<std::uint32_t>(tasks);
+    step.per_task = {4'000, accelerators == yielding_accelerators ? yielding_memory_mb : 16'384,
+                     accelerators};
+    step.estimate_ms = estimate_ms;
+    step.gang = gang;
+    spec.steps.push_back(step);
+    return spec;
+}
+
+void busy_fleet::send(const event& e) {
+    const auto began = std::chrono::steady_clock::now();
+    reduce(state_, now_, e, out_);
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - began;
+    durations_us_.push_back(took.count());
+}
+
+void busy_fleet::settle() {
+    while (!out_.empty()) {
+        for (const auto& e : std::exchange(out_, {})) {
+            if (std::holds_alternative<store_records>(e)) {
+                send(records_stored{});
+            } else if (const auto* start = std::get_if<send_start>(&e)) {
+                running_[start->where.id].push_back({start->task, start->run});
+                starts_.push_back(*start);
+                send(start_answered{start->where.id, start->task, start->run, true, {}});
+            } else if (const auto* stop = std::get_if<send_stop>(&e)) {
+                send(stop_answered{stop->where.id, stop->task, stop->run, true, {}});
+                end(stop->where.id, stop->task, stop->run, end_reason::stopped);
+            } else if (const auto* poll = std::get_if<send_poll>(&e)) {
+                answer_poll(poll->where.id, {});
+            }
+        }
+    }
+}
+
+void busy_fleet::answer_poll(const std::string& worker, std::vector<ended_run> ended) {
+    worker_status status;
+    status.born_ms = 1;
+    status.clock_ms = now_.monotonic_ms;
+    for (const auto& run : running_[worker]) {
+        status.active.push_back({run.task, run.run, "", 1});
+    }
+    status.ended = std::move(ended);
+    send(poll_answered{worker, now_.monotonic_ms, std::move(status)});
+}
+
+std::vector<send_start> busy_fleet::submit(const std::string& id, int priority, int tasks,
+                                           std::int64_t accelerators, bool gang) {
+    starts_.clear();
+    send(job_submitted{make_job(id, priority, tasks, accelerators, gang)});
+    settle();
+    return std::exchange(starts_, {});
+}
+
+void busy_fleet::cancel(const std::string& id) {
+    send(cancel_requested{id, 1});
+    settle();
+}
+
+void busy_fleet::end(const std::string& worker, const task_id& task, std::uint32_t run,
+                     end_reason reason) {
+    std::erase_if(running_[worker], [&](const auto& r) { return r.task == task && r.run == run; });
+    answer_poll(worker, {{++ends_[worker], task, run, reason, ""}});
+    settle();
+}
+
+void busy_fleet::forget(const std::string& id) {
+    send(submissions_forgotten{{id}});
+    settle();
+}
+
+void busy_fleet::tick() {
+    now_.monotonic_ms += tick_ms;
+    now_.wall_ms += tick_ms;
+    send(scheduler::tick{});
+    settle();
+}
+
+std::vector<double> busy_fleet::take_durations() {
+    auto taken = std::exchange(durations_us_, {});
+    std::sort(taken.begin(), taken.end());
+    return taken;
+}
+
+} // namespace fulmarworks::bench
--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -2,6 +2,7 @@
 
 #include "scheduler/effect.h"
 #include "scheduler/event.h"
+#include "scheduler/room_index.h"
 #include "scheduler/settings.h"
 
 #include <functional>
@@ -52,6 +53,15 @@
     std::map<std::string, worker> workers;
     guarantees accounts;
 
+    /** Room of all workers; worked out from the rest. */
+    room_index rooms;
+    /** Active jobs that may have idle tasks; a plan takes out those that have none. */
+    std::set<std::string> waiting_jobs;
+    /** Active jobs of which an occurrence may come due. */
+    std::set<std::string> recurring_jobs;
+    /** Accelerators that all active urgent jobs of an account need at once. */
+    std::map<std::string, std::int64_t> urgent_demand;
+
     /** Jobs whose stored progress can't be decoded; they are shown as running and never started. */
     std::set<std::string> unreadable;
 
--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -119,6 +119,9 @@
 /** Returns the estimated duration of the longest chain of dependent steps. Thread safe. */
 [[nodiscard]] time_ms longest_chain_ms(const job_spec& spec);
 
+/** Returns the most accelerators that one step needs at once. Thread safe. */
+[[nodiscard]] std::int64_t widest_step(const job_spec& spec);
+
 /** Returns the state that follows from the progress of `j`. Thread safe. */
 [[nodiscard]] job_state derive_state(const job& j);
 
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "lifecycle.h"
 #include "planner.h"
+#include "rooms.h"
 #include "run_supervision.h"
 #include "scheduler/codec.h"
 #include "worker_links.h"
@@ -29,6 +30,7 @@
     added->accepted_at_ms = r.now.monotonic_ms;
     job& j = *added;
     r.state.jobs.emplace(spec.id, std::move(added));
+    track_job(r.state, j);
     note(r, "job_known",
          "request=" + spec.id + " account=" + spec.account + " queue=" + spec.queue + " priority=" +
              std::to_string(spec.terms.priority) + " steps=" + std::to_string(spec.steps.size()) +
@@ -121,6 +123,7 @@
 void carry_out_plan(reduction& r) {
     r.state.plan_needed = false;
     r.state.planned_at_ms = r.now.monotonic_ms;
+    refresh_rooms(r.state, r.now.monotonic_ms);
     const plan decided = make_plan(r.state, r.now.monotonic_ms);
     std::map<std::pair<std::string, std::pair<std::uint32_t, std::uint32_t>>, std::uint32_t> runs;
     for (const auto& p : decided.placements) {
@@ -187,8 +190,10 @@
 void advance(reduction& r) {
     if (r.now.monotonic_ms - r.state.inspected_at_ms >= inspection_interval_ms) {
         r.state.inspected_at_ms = r.now.monotonic_ms;
-        for (auto& [id, j] : r.state.jobs) {
-            open_due_occurrences(r, *j);
+        for (auto next = r.state.recurring_jobs.begin(); next != r.state.recurring_jobs.end();) {
+            // Taken before the call, which may drop the job from the set.
+            const std::string& id = *next++;
+            open_due_occurrences(r, *r.state.jobs.at(id));
         }
         supervise_runs(r);
         forget_ended_jobs(r);
@@ -231,6 +236,7 @@
         w.lease_horizon_ms = horizon_ms;
         w.unlisted_since_ms = now_ms;
         w.assigned.insert(id);
+        state.rooms.mark(w.report.life.id);
     });
 }
 
@@ -255,6 +261,8 @@
         j->visible_state = derive_state(*j);
         if (is_final(j->visible_state)) {
             j->ended_at_ms = now.monotonic_ms;
+        } else {
+            track_job(state, *j);
         }
         book_assignments(state, *j, now.monotonic_ms, horizon);
         state.jobs.emplace(j->spec.id, std::move(j));
--- a/libs/scheduler/src/job.cpp
+++ b/libs/scheduler/src/job.cpp
@@ -50,6 +50,14 @@
     return longest;
 }
 
+std::int64_t widest_step(const job_spec& spec) {
+    std::int64_t widest = 0;
+    for (const auto& s : spec.steps) {
+        widest = std::max(widest, s.per_task.accelerators * s.task_count);
+    }
+    return widest;
+}
+
 job_state derive_state(const job& j) {
     if (j.cancel_requested) {
         return job_state::cancelled;
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -23,6 +23,7 @@
 void free_room(reduction& r, const task_id& id, task& t) {
     if (worker* w = find_worker(r, t.where.id)) {
         w->assigned.erase(id);
+        r.state.rooms.mark(t.where.id);
     }
     t.where = {};
     t.order_attempts = 0;
@@ -30,6 +31,11 @@
     r.state.plan_needed = true;
 }
 
+void make_idle(reduction& r, const task_place& place) {
+    place.item->phase = task_phase::idle;
+    r.state.waiting_jobs.insert(place.owner->spec.id);
+}
+
 void complete_task(reduction& r, const task_id& id, const task_place& place) {
     free_room(r, id, *place.item);
     place.item->phase = task_phase::complete;
@@ -42,6 +48,7 @@
     worker* w = find_worker(r, place.item->where.id);
     if (w != nullptr && is_assigned(place.item->phase)) {
         w->strays.push_back({id, place.item->run, booked(*place.spec), r.now.monotonic_ms, true});
+        r.state.rooms.mark(w->report.life.id);
     }
 }
 
@@ -75,6 +82,7 @@
     if (w->blamed_by.size() >= blame_limit) {
         w->blamed_by.clear();
         w->quarantined_until_ms = r.now.monotonic_ms + quarantine_ms;
+        r.state.rooms.mark(worker_id);
         note(r, "worker_quarantined",
              "worker=" + worker_id + " for_ms=" + std::to_string(quarantine_ms));
     }
@@ -148,6 +156,14 @@
     r.state.dirty.insert(j.spec.id);
 }
 
+void track_job(coordinator_state& state, const job& j) {
+    state.waiting_jobs.insert(j.spec.id);
+    state.recurring_jobs.insert(j.spec.id);
+    if (j.spec.terms.priority == 0) {
+        state.urgent_demand[j.spec.account] += widest_step(j.spec);
+    }
+}
+
 void assign_task(reduction& r, const task_id& id, const worker_life& where, std::uint32_t run) {
     const task_place place = find_task(r.state, id);
     task& t = *place.item;
@@ -161,6 +177,7 @@
     t.start_allowed = false;
     place.owner->started = true;
     r.state.workers.at(where.id).assigned.insert(id);
+    r.state.rooms.mark(where.id);
     touch(r, *place.owner);
     r.state.waiting_for_store.emplace_back(deferred_start{id, run});
     note(r, "task_placed", describe_task(id, run) + " worker=" + where.id);
@@ -206,6 +223,7 @@
     if (t.phase != task_phase::stopping) {
         t.phase = task_phase::stopping;
         t.order_attempts = 0;
+        r.state.rooms.mark(t.where.id);
         note(r, "task_stopping",
              describe_task(id, t.run) + " worker=" + t.where.id + " reason=" + std::string(reason));
     }
@@ -222,7 +240,7 @@
          describe_task(id, place.item->run) + " worker=" + place.item->where.id +
              " reason=" + std::string(reason));
     free_room(r, id, *place.item);
-    place.item->phase = task_phase::idle;
+    make_idle(r, place);
     touch(r, *place.owner);
     stop_rest_of_gang(r, id, place);
 }
@@ -243,7 +261,7 @@
             count_failure(r, place, end);
         }
         free_room(r, end.task, *place.item);
-        place.item->phase = task_phase::idle;
+        make_idle(r, place);
         stop_rest_of_gang(r, end.task, place);
     }
     touch(r, owner);
@@ -254,6 +272,10 @@
 }
 
 void end_job(reduction& r, job& j) {
+    r.state.recurring_jobs.erase(j.spec.id);
+    if (j.spec.terms.priority == 0) {
+        r.state.urgent_demand[j.spec.account] -= widest_step(j.spec);
+    }
     j.ended_at_ms = r.now.monotonic_ms;
     const job_state state = derive_state(j);
     note(r, "job_ended",
@@ -277,8 +299,10 @@
             return;
         }
         j.occurrences.push_back(make_occurrence(j.spec, number));
+        r.state.waiting_jobs.insert(j.spec.id);
         r.state.plan_needed = true;
     }
+    r.state.recurring_jobs.erase(j.spec.id);
 }
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/lifecycle.h
+++ b/libs/scheduler/src/lifecycle.h
@@ -20,6 +20,9 @@
 /** Marks the progress of a job as changed, so that it is stored with the next batch. */
 void touch(reduction& r, const job& j);
 
+/** Takes up a job that has not ended: its tasks wait, and its account's demand counts. */
+void track_job(coordinator_state& state, const job& j);
+
 /** Books a task on a worker; the start follows once that is stored. */
 void assign_task(reduction& r, const task_id& id, const worker_life& where, std::uint32_t run);
 
--- a/libs/scheduler/src/planner.cpp
+++ b/libs/scheduler/src/planner.cpp
@@ -14,36 +14,34 @@
 
 /** An urgent unit gives up its preferred rack after this share of the reclaim bound. */
 constexpr double urgent_rack_patience = 0.4;
-/** Other units wait this many times their run time before they run remotely at `remote_factor`. */
-constexpr double rack_patience_runs = 1.5;
+/** Other units wait for this part of the time that they would lose by running away from it. */
+constexpr double rack_patience = 0.75;
 /** With this share of the accelerators free nothing waits long, as the rack's load is no reason. */
 constexpr double idle_share = 0.4;
 constexpr time_ms idle_rack_patience_ms = 1500;
-/** Time for which room that was made for a unit is kept; longer than any stop takes. */
-constexpr time_ms reservation_ms = 1500;
+/** Room that was made for a unit is kept for the time of a stop and this: the way of the order, a
+ * poll, and the batch that stores the end. */
+constexpr time_ms reservation_margin_ms = 1100;
+/** Racks that are compared for one gang: more than today's deployments have, and few enough for a
+ * decision within a millisecond at the target size. */
+constexpr std::size_t max_racks_compared = 50;
 
 struct planning {
     coordinator_state& state;
     time_ms now_ms = 0;
-    std::vector<worker_room> rooms;
-    /** The last one stands for all racks together. */
-    std::vector<rack_rooms> racks;
-    /** What may be stopped for urgent units, worked out when the first one needs it. */
-    std::optional<victim_table> victims;
+    /** What may be stopped for urgent units. */
+    victim_table victims;
     bool mostly_idle = false;
+    /** Shapes that no room of their pool has space for; rooms only fill up during a plan. */
+    std::vector<std::pair<std::string, resources>> hopeless;
     plan result;
+
+    [[nodiscard]] room_index& rooms() const { return state.rooms; }
 };
 
-bool is_mostly_idle(const std::vector<worker_room>& rooms) {
-    std::int64_t free = 0;
-    std::int64_t total = 0;
-    for (const auto& room : rooms) {
-        if (room.open) {
-            free += room.free.accelerators;
-            total += room.host->report.capacity.accelerators;
-        }
-    }
-    return static_cast<double>(free) >= idle_share * static_cast<double>(total);
+bool is_mostly_idle(const room_index& rooms) {
+    return static_cast<double>(rooms.free_accelerators()) >=
+           idle_share * static_cast<double>(rooms.all_accelerators());
 }
 
 placement_request make_request(const work_unit& unit) {
@@ -65,18 +63,19 @@
     if (p.mostly_idle && waited >= idle_rack_patience_ms) {
         return false;
     }
-    const auto patience =
-        unit.owner->spec.terms.priority == 0
-            ? urgent_rack_patience * static_cast<double>(p.state.limits.reclaim_ms)
-            : rack_patience_runs * static_cast<double>(unit.spec().estimate_ms);
+    const settings& limits = p.state.limits;
+    const auto patience = unit.owner->spec.terms.priority == 0
+                              ? urgent_rack_patience * static_cast<double>(limits.reclaim_ms)
+                              : rack_patience * (limits.remote_factor - 1) *
+                                    static_cast<double>(unit.spec().estimate_ms);
     return static_cast<double>(waited) < patience;
 }
 
-void accept(planning& p, const work_unit& unit, std::span<const std::size_t> chosen) {
+void accept(planning& p, const work_unit& unit, std::span<const room_number> chosen) {
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         p.result.placements.push_back(
             {{unit.owner->spec.id, unit.in->number, unit.step, unit.tasks[i]},
-             p.rooms[chosen[i]].host->report.life});
+             p.rooms().at(chosen[i]).host->report.life});
     }
 }
 
@@ -84,123 +83,153 @@
     return spec.gang && spec.same_rack && spec.task_count > 1;
 }
 
-/** Returns the racks to try, in order; the one without a name stands for all together. */
-std::vector<const rack_rooms*> racks_to_try(const planning& p, const work_unit& unit) {
-    std::vector<const rack_rooms*> racks;
+/** Returns the racks that suit the unit best, those with the least room first. */
+std::vector<search_scope> preferred_racks(const planning& p, const work_unit& unit) {
+    std::vector<search_scope> racks;
     const std::string& data_rack = unit.spec().data_rack;
-    for (const auto& rack : p.racks) {
-        const bool all = &rack == &p.racks.back();
-        if (!all &&
-            (rack.name == data_rack || (data_rack.empty() && wants_one_rack(unit.spec())))) {
-            racks.push_back(&rack);
+    if (!data_rack.empty()) {
+        if (const rack_rooms* rack = p.rooms().rack(data_rack)) {
+            racks.push_back(rack);
+        }
+    } else if (wants_one_rack(unit.spec())) {
+        for (const auto& [free, name] : p.rooms().racks()) {
+            racks.push_back(p.rooms().rack(name));
         }
-    }
-    if (racks.empty() || !insists_on_rack(p, unit)) {
-        racks.push_back(&p.racks.back());
     }
     return racks;
 }
 
+/** Returns whether the unit may run anywhere, after the racks that suit it best. */
+bool may_run_anywhere(const planning& p, const work_unit& unit, bool has_preferred_rack) {
+    return !has_preferred_rack || !insists_on_rack(p, unit);
+}
+
 /** Accelerators that stay free on the used workers; less is better. */
-std::int64_t leftover(const planning& p, std::span<const std::size_t> chosen) {
+std::int64_t leftover(const planning& p, std::span<const room_number> chosen) {
     std::int64_t total = 0;
-    for (const std::size_t i : chosen) {
-        total += p.rooms[i].free.accelerators;
+    for (const room_number room : chosen) {
+        total += p.rooms().at(room).free.accelerators;
     }
     return total;
 }
 
+std::optional<std::vector<room_number>> place_whole(planning& p, const work_unit& unit,
+                                                    search_scope among, placement_request& request,
+                                                    room_kind kind) {
+    const std::size_t count = unit.tasks.size();
+    if (!may_fit(p.rooms(), among, booked(unit.spec()), count, kind)) {
+        return std::nullopt;
+    }
+    auto chosen = best_fit(p.rooms(), among, request, count, kind);
+    if (chosen.size() < count) {
+        unbook(p.rooms(), request, chosen);
+        return std::nullopt;
+    }
+    return chosen;
+}
+
 /** Places a whole gang into the rack that it fills best. */
-std::optional<std::vector<std::size_t>> place_gang(planning& p, const work_unit& unit,
+std::optional<std::vector<room_number>> place_gang(planning& p, const work_unit& unit,
                                                    placement_request& request, room_kind kind) {
-    const rack_rooms* best_rack = nullptr;
+    search_scope best_rack = all_racks;
     std::int64_t best_left = 0;
-    const resources need = booked(unit.spec());
-    for (const auto* rack : racks_to_try(p, unit)) {
-        if (rack == &p.racks.back() && best_rack != nullptr) {
-            break;
-        }
-        if (!may_fit(p.rooms, *rack, need, unit.tasks.size(), kind)) {
+    std::size_t tried = 0;
+    const auto racks = preferred_racks(p, unit);
+    for (const search_scope rack : racks) {
+        const auto chosen = place_whole(p, unit, rack, request, kind);
+        if (!chosen) {
             continue;
         }
-        const auto chosen = best_fit(p.rooms, *rack, request, unit.tasks.size(), kind);
-        const std::int64_t left = leftover(p, chosen);
-        unbook(p.rooms, request, chosen);
-        if (chosen.size() == unit.tasks.size() && (best_rack == nullptr || left < best_left)) {
+        const std::int64_t left = leftover(p, *chosen);
+        unbook(p.rooms(), request, *chosen);
+        if (best_rack == all_racks || left < best_left) {
             best_rack = rack;
             best_left = left;
         }
+        if (++tried == max_racks_compared) {
+            break;
+        }
     }
-    if (best_rack == nullptr) {
+    if (best_rack == all_racks && !may_run_anywhere(p, unit, !racks.empty())) {
         return std::nullopt;
     }
-    return best_fit(p.rooms, *best_rack, request, unit.tasks.size(), kind);
+    return place_whole(p, unit, best_rack, request, kind);
 }
 
 /** Keeps room for the unit until what occupies it has stopped. */
-void reserve(const planning& p, const work_unit& unit, std::span<const std::size_t> chosen) {
+void reserve(const planning& p, const work_unit& unit, std::span<const room_number> chosen) {
     step_progress& progress = unit.in->steps[unit.step];
     progress.reserved_on.clear();
-    for (const std::size_t i : chosen) {
-        progress.reserved_on.push_back(p.rooms[i].host->report.life.id);
+    for (const room_number room : chosen) {
+        progress.reserved_on.push_back(p.rooms().at(room).id);
     }
-    progress.reserved_until_ms = p.now_ms + reservation_ms;
+    progress.reserved_until_ms = p.now_ms + p.state.limits.stop_timeout_ms + reservation_margin_ms;
 }
 
-/** Makes room for an urgent unit, in the rack where that is possible at the least cost. */
-void preempt(planning& p, const work_unit& unit, const placement_request& request) {
-    if (!p.victims) {
-        p.victims = collect_victims(p.state, p.rooms, unit.owner->spec.terms.priority, p.now_ms);
-    }
+/** Returns the cheapest way to make room in one of the racks that suit the unit best. */
+std::optional<preemption_choice> cheapest_rack(planning& p, const work_unit& unit,
+                                               std::span<const search_scope> racks,
+                                               const placement_request& request) {
     std::optional<preemption_choice> best;
-    for (const auto* rack : racks_to_try(p, unit)) {
-        if (rack == &p.racks.back() && best) {
-            break;
+    std::size_t tried = 0;
+    const auto needed = booked(unit.spec()).accelerators *
+                        static_cast<std::int64_t>(unit.spec().gang ? unit.tasks.size() : 1);
+    // Racks with more room first: the fewer runs need to stop there.
+    for (auto rack = racks.rbegin(); rack != racks.rend() && tried < max_racks_compared; ++rack) {
+        if ((*rack)->all_accelerators < needed) {
+            continue;
         }
-        auto choice = choose_victims(p.state, p.rooms, *rack, *p.victims, unit, request);
-        if (!choice.victims.empty() && (!best || choice.cost < best->cost)) {
+        ++tried;
+        auto choice = choose_victims(p.state, *rack, p.victims, unit, request);
+        if (choice && (!best || choice->cost < best->cost)) {
             best = std::move(choice);
         }
     }
-    if (!best) {
+    return best;
+}
+
+/** Makes room for an urgent unit, in the rack where that is possible at the least cost. */
+void preempt(planning& p, const work_unit& unit, const placement_request& request) {
+    const auto racks = preferred_racks(p, unit);
+    auto choice = cheapest_rack(p, unit, racks, request);
+    if (!choice && may_run_anywhere(p, unit, !racks.empty())) {
+        choice = choose_victims(p.state, all_racks, p.victims, unit, request);
+    }
+    if (!choice) {
         return;
     }
-    p.rooms = std::move(best->rooms);
+    accept_choice(p.rooms(), p.victims, *choice);
     if (unit.spec().gang) {
-        reserve(p, unit, best->chosen);
+        reserve(p, unit, choice->chosen);
     }
-    for (const auto& id : best->victims) {
+    for (const auto& id : choice->victims) {
         p.result.preemptions.push_back({id, unit.owner->spec.id});
     }
-    remove_victims(*p.victims, best->victims);
 }
 
 /**
  * Books the room that was reserved for a unit earlier. Returns it if all of it is free now; a
  * reservation that can't be kept any more is dropped.
  */
-std::optional<std::vector<std::size_t>>
+std::optional<std::vector<room_number>>
 claim_reservation(planning& p, const work_unit& unit, placement_request& request, bool& waiting) {
     step_progress& progress = unit.in->steps[unit.step];
     waiting = false;
     const resources need = booked(unit.spec());
-    std::vector<std::size_t> chosen;
+    std::vector<room_number> chosen;
     bool free = true;
     for (const auto& id : progress.reserved_on) {
-        const auto room = std::find_if(p.rooms.begin(), p.rooms.end(), [&](const auto& candidate) {
-            return candidate.host->report.life.id == id;
-        });
-        if (room == p.rooms.end() || !eligible(*room, request) || !fits(need, room->soon)) {
+        const room_number* found = p.rooms().find(id);
+        if (found == nullptr || !eligible(p.rooms().at(*found), request) ||
+            !fits(need, p.rooms().at(*found).soon)) {
             break;
         }
-        free = free && fits(need, room->free);
-        room->free -= need;
-        room->soon -= need;
-        ++request.already_there[id];
-        chosen.push_back(static_cast<std::size_t>(room - p.rooms.begin()));
+        free = free && fits(need, p.rooms().at(*found).free);
+        book(p.rooms(), request, *found);
+        chosen.push_back(*found);
     }
     if (chosen.size() != unit.tasks.size() || p.now_ms > progress.reserved_until_ms) {
-        unbook(p.rooms, request, chosen);
+        unbook(p.rooms(), request, chosen);
         progress.reserved_on.clear();
         return std::nullopt;
     }
@@ -237,19 +266,56 @@
     }
 }
 
-void plan_tasks(planning& p, work_unit unit) {
-    placement_request request = make_request(unit);
-    for (const auto* rack : racks_to_try(p, unit)) {
-        const auto chosen = best_fit(p.rooms, *rack, request, unit.tasks.size(), room_kind::free);
+/** Returns whether the unit's shape is known not to fit into any room now. */
+bool is_hopeless(const planning& p, const work_unit& unit) {
+    const resources need = booked(unit.spec());
+    return std::any_of(p.hopeless.begin(), p.hopeless.end(), [&](const auto& known) {
+        return known.first == unit.owner->spec.terms.pool && fits(known.second, need);
+    });
+}
+
+void note_if_hopeless(planning& p, const work_unit& unit, const placement_request& request) {
+    const bool restricted = !request.spec->required_label.empty() || !request.avoid.empty() ||
+                            request.spec->max_tasks_per_worker != 0;
+    if (!restricted) {
+        p.hopeless.emplace_back(unit.owner->spec.terms.pool, booked(unit.spec()));
+    }
+}
+
+/** Places what fits now, and takes it out of the unit. */
+void place_tasks(planning& p, work_unit& unit, placement_request& request) {
+    const auto place_among = [&](search_scope among) {
+        const auto chosen = best_fit(p.rooms(), among, request, unit.tasks.size(), room_kind::free);
         accept(p, unit, chosen);
         unit.tasks.erase(unit.tasks.begin(),
                          unit.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
+    };
+    const auto racks = preferred_racks(p, unit);
+    for (const search_scope rack : racks) {
+        place_among(rack);
+    }
+    if (!unit.tasks.empty() && may_run_anywhere(p, unit, !racks.empty())) {
+        place_among(all_racks);
+        if (!unit.tasks.empty()) {
+            note_if_hopeless(p, unit, request);
+        }
+    }
+}
+
+void plan_tasks(planning& p, work_unit unit) {
+    const bool urgent = unit.owner->spec.terms.priority == 0;
+    const bool hopeless = is_hopeless(p, unit);
+    if (hopeless && !urgent) {
+        return;
+    }
+    placement_request request = make_request(unit);
+    if (!hopeless) {
+        place_tasks(p, unit, request);
     }
-    if (unit.owner->spec.terms.priority != 0 || unit.tasks.empty()) {
+    if (!urgent || unit.tasks.empty()) {
         return;
     }
-    const auto soon =
-        best_fit(p.rooms, p.racks.back(), request, unit.tasks.size(), room_kind::soon);
+    const auto soon = best_fit(p.rooms(), all_racks, request, unit.tasks.size(), room_kind::soon);
     if (soon.size() < unit.tasks.size()) {
         unit.tasks.erase(unit.tasks.begin(),
                          unit.tasks.begin() + static_cast<std::ptrdiff_t>(soon.size()));
@@ -260,9 +326,9 @@
 } // namespace
 
 plan make_plan(coordinator_state& state, time_ms now_ms) {
-    planning p{state, now_ms, measure_rooms(state, now_ms), {}, {}, false, {}};
-    p.racks = group_by_rack(p.rooms);
-    p.mostly_idle = is_mostly_idle(p.rooms);
+    constexpr int urgent_priority = 0;
+    planning p{state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.rooms),
+               {},    {}};
     auto units = collect_units(state, now_ms);
     // Room that was made for a unit is booked before anything else can take it.
     std::stable_partition(units.begin(), units.end(), [](const work_unit& u) {
--- a/libs/scheduler/src/preemption.cpp
+++ b/libs/scheduler/src/preemption.cpp
@@ -3,7 +3,6 @@
 #include "lookup.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace fulmarworks::scheduler {
 
@@ -15,6 +14,9 @@
 constexpr time_ms resume_ms = 250;
 /** Fixed cost of stopping and starting a task again. */
 constexpr double restart_cost = 500;
+/** Rooms that are looked at for one task, those with the most left first: enough for all workers of
+ * today's deployments, and few enough for a decision within a millisecond at the target size. */
+constexpr std::size_t max_candidates = 400;
 
 double loss_of(const task& t, const step_spec& spec, time_ms now_ms) {
     time_ms lost = std::max<time_ms>(0, now_ms - t.started_at_ms);
@@ -57,23 +59,51 @@
     return v;
 }
 
-/** One way to make room; grows task by task. */
+/** Returns what may be stopped in a room, cheapest first. */
+const std::vector<victim>& victims_of(coordinator_state& state, victim_table& table,
+                                      room_number room) {
+    const auto [entry, added] = table.by_room.try_emplace(room);
+    if (added) {
+        for (const auto& id : state.rooms.at(room).host->assigned) {
+            auto v = make_victim(state, id, table.priority, table.now_ms);
+            if (v && !table.stopped.contains(v->members.front())) {
+                entry->second.push_back(std::move(*v));
+            }
+        }
+        std::sort(entry->second.begin(), entry->second.end(),
+                  [](const victim& a, const victim& b) { return a.cost < b.cost; });
+    }
+    return entry->second;
+}
+
+/** One way to make room; grows task by task, with its changes booked. */
 struct attempt {
-    std::vector<worker_room> rooms;
+    coordinator_state& state;
+    victim_table& table;
     placement_request request;
     std::set<task_id> stopped;
-    std::vector<std::size_t> chosen;
+    preemption_choice choice;
+
+    void change(const room_change& c) {
+        state.rooms.adjust(c);
+        choice.changes.push_back(c);
+    }
+};
+
+/** Victims of one room whose end makes a task fit there. */
+struct room_offer {
+    room_number room = 0;
     double cost = 0;
+    std::vector<const victim*> victims;
 };
 
-/** Stops the cheapest victims of a room until the task fits; returns the cost if it then fits. */
-std::optional<double> cost_to_fit(const attempt& a, const std::vector<victim>& victims,
-                                  std::size_t room, coordinator_state& state,
-                                  std::vector<const victim*>& chosen) {
+/** Adds the cheapest victims of a room until the task fits. */
+std::optional<room_offer> offer_of(attempt& a, room_number number) {
+    const worker_room& room = a.state.rooms.at(number);
     const resources need = booked(*a.request.spec);
-    resources soon = a.rooms[room].soon;
-    double cost = 0;
-    for (const auto& v : victims) {
+    resources soon = room.soon;
+    room_offer offer{number, 0, {}};
+    for (const auto& v : victims_of(a.state, a.table, number)) {
         if (fits(need, soon)) {
             break;
         }
@@ -81,101 +111,96 @@
             continue;
         }
         for (const auto& id : v.members) {
-            const task_place place = find_task(state, id);
-            if (place.item->where.id == a.rooms[room].host->report.life.id) {
+            const task_place place = find_task(a.state, id);
+            if (place.item->where.id == room.id) {
                 soon += booked(*place.spec);
             }
         }
-        cost += v.cost;
-        chosen.push_back(&v);
+        offer.cost += v.cost;
+        offer.victims.push_back(&v);
     }
-    return fits(need, soon) ? std::optional(cost) : std::nullopt;
+    return fits(need, soon) ? std::optional(std::move(offer)) : std::nullopt;
 }
 
-void stop_victim(attempt& a, const victim& v, coordinator_state& state) {
+void stop_victim(attempt& a, const victim& v) {
     for (const auto& id : v.members) {
         if (!a.stopped.insert(id).second) {
             continue;
         }
-        const task_place place = find_task(state, id);
-        for (auto& room : a.rooms) {
-            if (room.host->report.life.id == place.item->where.id) {
-                room.soon += booked(*place.spec);
-                break;
-            }
+        const task_place place = find_task(a.state, id);
+        if (const room_number* room = a.state.rooms.find(place.item->where.id)) {
+            a.change({*room, {}, booked(*place.spec)});
         }
     }
-    a.cost += v.cost;
 }
 
-bool place_one(attempt& a, const rack_rooms& among, const victim_table& table,
-               coordinator_state& state) {
-    std::size_t best = a.rooms.size();
-    double best_cost = 0;
-    std::vector<const victim*> best_victims;
-    for (const std::size_t i : among.rooms) {
-        if (!eligible(a.rooms[i], a.request)) {
+std::vector<room_number> candidates(const attempt& a, search_scope among) {
+    if (among != all_racks) {
+        return among->rooms;
+    }
+    std::vector<room_number> rooms;
+    const auto& open = a.state.rooms.open_in(a.request.owner->spec.terms.pool);
+    for (auto it = open.rbegin(); it != open.rend() && rooms.size() < max_candidates; ++it) {
+        rooms.push_back(std::get<room_number>(*it));
+    }
+    return rooms;
+}
+
+bool place_one(attempt& a, search_scope among) {
+    std::optional<room_offer> best;
+    for (const room_number number : candidates(a, among)) {
+        if (!eligible(a.state.rooms.at(number), a.request)) {
             continue;
         }
-        std::vector<const victim*> victims;
-        const auto cost = cost_to_fit(a, table[i], i, state, victims);
-        if (cost && (best == a.rooms.size() || *cost < best_cost)) {
-            best = i;
-            best_cost = *cost;
-            best_victims = std::move(victims);
+        auto offer = offer_of(a, number);
+        if (offer && (!best || offer->cost < best->cost)) {
+            best = std::move(offer);
         }
     }
-    if (best == a.rooms.size()) {
+    if (!best) {
         return false;
     }
-    for (const auto* v : best_victims) {
-        stop_victim(a, *v, state);
+    for (const auto* v : best->victims) {
+        stop_victim(a, *v);
     }
-    const resources need = booked(*a.request.spec);
-    a.rooms[best].soon -= need;
-    a.rooms[best].free -= need;
-    ++a.request.already_there[a.rooms[best].host->report.life.id];
-    a.chosen.push_back(best);
+    a.choice.cost += best->cost;
+    a.choice.chosen.push_back(best->room);
+    resources taken;
+    taken -= booked(*a.request.spec);
+    a.change({best->room, taken, taken});
+    ++a.request.already_there[a.state.rooms.at(best->room).id];
     return true;
 }
 
 } // namespace
 
-victim_table collect_victims(coordinator_state& state, std::span<const worker_room> rooms,
-                             int priority, time_ms now_ms) {
-    victim_table table(rooms.size());
-    for (std::size_t i = 0; i < rooms.size(); ++i) {
-        if (!rooms[i].open) {
-            continue;
-        }
-        for (const auto& id : rooms[i].host->assigned) {
-            if (auto v = make_victim(state, id, priority, now_ms)) {
-                table[i].push_back(std::move(*v));
-            }
-        }
-        std::sort(table[i].begin(), table[i].end(),
-                  [](const victim& a, const victim& b) { return a.cost < b.cost; });
+std::optional<preemption_choice> choose_victims(coordinator_state& state, search_scope among,
+                                                victim_table& table, const work_unit& unit,
+                                                const placement_request& request) {
+    attempt a{state, table, request, {}, {}};
+    bool complete = true;
+    for (std::size_t i = 0; complete && i < unit.tasks.size(); ++i) {
+        complete = place_one(a, among);
     }
-    return table;
-}
-
-void remove_victims(victim_table& table, std::span<const task_id> stopped) {
-    const std::set<task_id> gone(stopped.begin(), stopped.end());
-    for (auto& victims : table) {
-        std::erase_if(victims, [&](const victim& v) { return gone.contains(v.members.front()); });
+    for (auto c = a.choice.changes.rbegin(); c != a.choice.changes.rend(); ++c) {
+        state.rooms.revert(*c);
     }
+    if (!complete || a.stopped.empty()) {
+        return std::nullopt;
+    }
+    a.choice.victims.assign(a.stopped.begin(), a.stopped.end());
+    return std::move(a.choice);
 }
 
-preemption_choice choose_victims(coordinator_state& state, std::span<const worker_room> rooms,
-                                 const rack_rooms& among, const victim_table& table,
-                                 const work_unit& unit, const placement_request& request) {
-    attempt a{{rooms.begin(), rooms.end()}, request, {}, {}, 0};
-    for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
-        if (!place_one(a, among, table, state)) {
-            return {};
-        }
+void accept_choice(room_index& rooms, victim_table& table, const preemption_choice& choice) {
+    for (const auto& change : choice.changes) {
+        rooms.adjust(change);
+    }
+    table.stopped.insert(choice.victims.begin(), choice.victims.end());
+    for (auto& [room, victims] : table.by_room) {
+        std::erase_if(victims,
+                      [&](const victim& v) { return table.stopped.contains(v.members.front()); });
     }
-    return {{a.stopped.begin(), a.stopped.end()}, std::move(a.chosen), std::move(a.rooms), a.cost};
 }
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/preemption.h
+++ b/libs/scheduler/src/preemption.h
@@ -3,6 +3,9 @@
 #include "rooms.h"
 #include "work_units.h"
 
+#include <optional>
+#include <unordered_map>
+
 namespace fulmarworks::scheduler {
 
 /** A run, or a whole gang, that can be stopped. */
@@ -11,39 +14,39 @@
     double cost = 0;
 };
 
-/** Victims by room, cheapest first. */
-using victim_table = std::vector<std::vector<victim>>;
+/** What may be stopped in favour of one priority, worked out for a room when it is first asked. */
+struct victim_table {
+    int priority = 0;
+    time_ms now_ms = 0;
+    /** Cheapest first. */
+    std::unordered_map<room_number, std::vector<victim>> by_room;
+    /** Runs that are being stopped already. */
+    std::set<task_id> stopped;
+};
 
 /** Which running tasks to stop so that a unit finds room. */
 struct preemption_choice {
     std::vector<task_id> victims;
-    /** Rooms that the unit's tasks will take, as indices. */
-    std::vector<std::size_t> chosen;
-    /** All rooms, with what the unit takes and what the victims give booked. */
-    std::vector<worker_room> rooms;
+    /** Rooms that the unit's tasks will take. */
+    std::vector<room_number> chosen;
+    /** What the unit takes and what the victims give. */
+    std::vector<room_change> changes;
     /** Accelerator-milliseconds of work that is thrown away. */
     double cost = 0;
 };
 
-/** Returns what may be stopped in favour of work of `priority`. */
-[[nodiscard]] victim_table collect_victims(coordinator_state& state,
-                                           std::span<const worker_room> rooms, int priority,
-                                           time_ms now_ms);
-
-/** Takes runs that are being stopped out of the table. */
-void remove_victims(victim_table& table, std::span<const task_id> stopped);
-
 /**
  * Finds room for all tasks of an urgent unit in one group of workers by stopping less important
- * work, where the least work is lost since its last checkpoint. Returns no victims if that is
- * impossible.
+ * work, where the least work is lost since its last checkpoint. Returns nothing if that is
+ * impossible. Leaves the rooms as they were.
  *
  * Load it answers: urgent gangs that arrive while long jobs hold every accelerator.
  */
-[[nodiscard]] preemption_choice choose_victims(coordinator_state& state,
-                                               std::span<const worker_room> rooms,
-                                               const rack_rooms& among, const victim_table& table,
-                                               const work_unit& unit,
-                                               const placement_request& request);
+[[nodiscard]] std::optional<preemption_choice>
+choose_victims(coordinator_state& state, search_scope among, victim_table& table,
+               const work_unit& unit, const placement_request& request);
+
+/** Books a choice: its victims can't be chosen again. */
+void accept_choice(room_index& rooms, victim_table& table, const preemption_choice& choice);
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/rooms.cpp
+++ b/libs/scheduler/src/rooms.cpp
@@ -17,42 +17,115 @@
     return kind == room_kind::free ? room.free : room.soon;
 }
 
-bool better(const resources& left, const resources& best) {
-    if (left.accelerators != best.accelerators) {
-        return left.accelerators < best.accelerators;
+resources negative(const resources& r) {
+    resources n;
+    n -= r;
+    return n;
+}
+
+/** Best room of one search so far. */
+struct best_room {
+    std::optional<room_index::search_key> key;
+
+    void offer(const room_index::search_key& candidate) {
+        if (!key || candidate < *key) {
+            key = candidate;
+        }
+    }
+    [[nodiscard]] std::optional<room_number> room() const {
+        return key ? std::optional(std::get<room_number>(*key)) : std::nullopt;
+    }
+};
+
+void offer_if_suitable(best_room& best, const room_index& rooms, room_number number,
+                       const placement_request& request, const resources& need, room_kind kind) {
+    const worker_room& room = rooms.at(number);
+    const resources& there = room_of(room, kind);
+    if (fits(need, there) && eligible(room, request)) {
+        best.offer({there.accelerators, there.memory_mb, number});
     }
-    return left.memory_mb < best.memory_mb;
+}
+
+/** Goes through the open rooms in the order of a best fit, from the first that can be large enough.
+ */
+void search_in_order(best_room& best, const room_index& rooms, const placement_request& request,
+                     const resources& need, room_kind kind) {
+    const auto& open = rooms.open_in(request.owner->spec.terms.pool);
+    auto it = open.lower_bound({need.accelerators, need.memory_mb, 0});
+    while (it != open.end()) {
+        const auto& [accelerators, memory_mb, number] = *it;
+        if (memory_mb < need.memory_mb) {
+            it = open.lower_bound({accelerators, need.memory_mb, 0});
+            continue;
+        }
+        const worker_room& room = rooms.at(number);
+        // Rooms with stops are ordered by what is free now, and are looked at one by one.
+        const bool ordered = kind == room_kind::free || room.free == room.soon;
+        if (ordered && need.cpu_millis <= room.free.cpu_millis && eligible(room, request)) {
+            best.offer(*it);
+            return;
+        }
+        ++it;
+    }
+}
+
+std::optional<room_number> find_best(const room_index& rooms, search_scope among,
+                                     const placement_request& request, const resources& need,
+                                     room_kind kind) {
+    best_room best;
+    if (among != all_racks) {
+        for (const room_number number : among->rooms) {
+            offer_if_suitable(best, rooms, number, request, need, kind);
+        }
+        return best.room();
+    }
+    search_in_order(best, rooms, request, need, kind);
+    if (kind == room_kind::soon) {
+        for (const room_number number : rooms.with_stops()) {
+            offer_if_suitable(best, rooms, number, request, need, kind);
+        }
+    }
+    return best.room();
 }
 
 } // namespace
 
-std::vector<worker_room> measure_rooms(coordinator_state& state, time_ms now_ms) {
-    std::vector<worker_room> rooms;
-    rooms.reserve(state.workers.size());
-    for (const auto& [id, w] : state.workers) {
-        worker_room room{&w, w.report.capacity, {}, accepts_work(w, now_ms)};
-        resources ending;
-        for (const auto& task : w.assigned) {
-            const task_place place = find_task(state, task);
-            if (!place) {
-                continue;
-            }
-            room.free -= booked(*place.spec);
-            if (place.item->phase == task_phase::stopping) {
-                ending += booked(*place.spec);
-            }
+worker_room measure_room(coordinator_state& state, const worker& w, time_ms now_ms) {
+    worker_room room{w.report.life.id, &w, w.report.capacity, {}, accepts_work(w, now_ms)};
+    resources ending;
+    for (const auto& task : w.assigned) {
+        const task_place place = find_task(state, task);
+        if (!place) {
+            continue;
+        }
+        room.free -= booked(*place.spec);
+        if (place.item->phase == task_phase::stopping) {
+            ending += booked(*place.spec);
+        }
+    }
+    for (const auto& stray : w.strays) {
+        if (!stray.ending) {
+            room.free -= stray.need;
+            ending += stray.need;
+        }
+    }
+    room.soon = room.free;
+    room.soon += ending;
+    return room;
+}
+
+void refresh_rooms(coordinator_state& state, time_ms now_ms) {
+    for (const auto& id : state.rooms.take_marked()) {
+        const auto found = state.workers.find(id);
+        if (found == state.workers.end()) {
+            state.rooms.remove(id);
+            continue;
         }
-        for (const auto& stray : w.strays) {
-            if (!stray.ending) {
-                room.free -= stray.need;
-                ending += stray.need;
-            }
+        state.rooms.set(measure_room(state, found->second, now_ms));
+        if (found->second.quarantined_until_ms > now_ms) {
+            state.rooms.mark(id);
         }
-        room.soon = room.free;
-        room.soon += ending;
-        rooms.push_back(room);
     }
-    return rooms;
 }
 
 bool eligible(const worker_room& room, const placement_request& request) {
@@ -64,89 +137,54 @@
     if (!label.empty() && std::find(labels.begin(), labels.end(), label) == labels.end()) {
         return false;
     }
-    const std::string& id = room.host->report.life.id;
-    if (request.avoid.contains(id)) {
+    if (request.avoid.contains(room.id)) {
         return false;
     }
     if (request.spec->max_tasks_per_worker == 0) {
         return true;
     }
-    const auto there = request.already_there.find(id);
+    const auto there = request.already_there.find(room.id);
     return there == request.already_there.end() ||
            there->second < request.spec->max_tasks_per_worker;
 }
 
-std::vector<rack_rooms> group_by_rack(std::span<const worker_room> rooms) {
-    std::map<std::string, rack_rooms> racks;
-    rack_rooms all;
-    for (std::size_t i = 0; i < rooms.size(); ++i) {
-        const std::string& name = rooms[i].host->report.rack;
-        racks[name].name = name;
-        racks[name].rooms.push_back(i);
-        all.rooms.push_back(i);
-    }
-    std::vector<rack_rooms> groups;
-    for (auto& [name, rack] : racks) {
-        groups.push_back(std::move(rack));
-    }
-    groups.push_back(std::move(all));
-    return groups;
-}
-
-bool may_fit(std::span<const worker_room> rooms, const rack_rooms& among, const resources& need,
-             std::size_t count, room_kind kind) {
-    std::size_t tasks = 0;
-    for (const std::size_t i : among.rooms) {
-        const resources& room = room_of(rooms[i], kind);
-        if (rooms[i].open && fits(need, room)) {
-            tasks += need.accelerators == 0
-                         ? count
-                         : static_cast<std::size_t>(room.accelerators / need.accelerators);
-        }
-        if (tasks >= count) {
-            return true;
-        }
+bool may_fit(const room_index& rooms, search_scope among, const resources& need, std::size_t count,
+             room_kind kind) {
+    if (among == all_racks) {
+        return kind == room_kind::soon ||
+               need.accelerators * static_cast<std::int64_t>(count) <= rooms.free_accelerators();
     }
-    return false;
+    const std::int64_t there =
+        kind == room_kind::free ? among->free_accelerators : among->soon_accelerators;
+    return need.accelerators * static_cast<std::int64_t>(count) <= there;
 }
 
-std::vector<std::size_t> best_fit(std::span<worker_room> rooms, const rack_rooms& among,
-                                  placement_request& request, std::size_t count, room_kind kind) {
+std::vector<room_number> best_fit(room_index& rooms, search_scope among, placement_request& request,
+                                  std::size_t count, room_kind kind) {
     const resources need = booked(*request.spec);
-    std::vector<std::size_t> chosen;
+    std::vector<room_number> chosen;
     while (chosen.size() < count) {
-        std::size_t best = rooms.size();
-        resources best_left;
-        for (const std::size_t i : among.rooms) {
-            const resources& room = room_of(rooms[i], kind);
-            if (!fits(need, room)) {
-                continue;
-            }
-            resources left = room;
-            left -= need;
-            if ((best == rooms.size() || better(left, best_left)) && eligible(rooms[i], request)) {
-                best = i;
-                best_left = left;
-            }
-        }
-        if (best == rooms.size()) {
+        const auto best = find_best(rooms, among, request, need, kind);
+        if (!best) {
             break;
         }
-        rooms[best].free -= need;
-        rooms[best].soon -= need;
-        ++request.already_there[rooms[best].host->report.life.id];
-        chosen.push_back(best);
+        book(rooms, request, *best);
+        chosen.push_back(*best);
     }
     return chosen;
 }
 
-void unbook(std::span<worker_room> rooms, placement_request& request,
-            std::span<const std::size_t> chosen) {
-    const resources need = booked(*request.spec);
-    for (const std::size_t i : chosen) {
-        rooms[i].free += need;
-        rooms[i].soon += need;
-        --request.already_there[rooms[i].host->report.life.id];
+void book(room_index& rooms, placement_request& request, room_number room) {
+    const resources taken = negative(booked(*request.spec));
+    rooms.adjust({room, taken, taken});
+    ++request.already_there[rooms.at(room).id];
+}
+
+void unbook(room_index& rooms, placement_request& request, std::span<const room_number> chosen) {
+    const resources taken = negative(booked(*request.spec));
+    for (const room_number room : chosen) {
+        rooms.revert({room, taken, taken});
+        --request.already_there[rooms.at(room).id];
     }
 }
 
--- a/libs/scheduler/src/rooms.h
+++ b/libs/scheduler/src/rooms.h
@@ -2,32 +2,16 @@
 
 #include "scheduler/coordinator.h"
 
+#include <optional>
 #include <span>
 
 namespace fulmarworks::scheduler {
 
-/** Room of one worker while a plan is made. */
-struct worker_room {
-    const worker* host = nullptr;
-    /** Not booked by anything. */
-    resources free;
-    /** `free` and what is being stopped. */
-    resources soon;
-    /** New tasks may be placed here. */
-    bool open = false;
-};
-
-/** Workers of one rack, as indices, with bounds that let hopeless searches end early. */
-struct rack_rooms {
-    std::string name;
-    std::vector<std::size_t> rooms;
-};
+/** Returns the room of a worker, worked out from all that is assigned to it. */
+[[nodiscard]] worker_room measure_room(coordinator_state& state, const worker& w, time_ms now_ms);
 
-/** Returns the room of every worker, in the order of their ids. */
-[[nodiscard]] std::vector<worker_room> measure_rooms(coordinator_state& state, time_ms now_ms);
-
-/** Groups rooms by rack; the last group, without a name, holds all of them. */
-[[nodiscard]] std::vector<rack_rooms> group_by_rack(std::span<const worker_room> rooms);
+/** Measures the marked rooms again, and those whose worker is set aside only for a while. */
+void refresh_rooms(coordinator_state& state, time_ms now_ms);
 
 /** What a set of equal tasks asks of the workers that run them. */
 struct placement_request {
@@ -46,21 +30,26 @@
 
 enum class room_kind { free, soon };
 
-/** Returns whether the group has enough accelerators for `count` tasks, in one quick pass. */
-[[nodiscard]] bool may_fit(std::span<const worker_room> rooms, const rack_rooms& among,
-                           const resources& need, std::size_t count, room_kind kind);
+/** Workers to search: one rack, or all racks if none is named. */
+using search_scope = const rack_rooms*;
+inline constexpr search_scope all_racks = nullptr;
+
+/** Returns whether a group of `count` tasks could fit by its accelerators alone. */
+[[nodiscard]] bool may_fit(const room_index& rooms, search_scope among, const resources& need,
+                           std::size_t count, room_kind kind);
 
 /**
- * Chooses a worker of the group for each of up to `count` tasks by best fit on accelerators, then
- * memory, and books it in `rooms`. Returns indices into `rooms`; fewer than `count` where room runs
- * out.
+ * Chooses a worker for each of up to `count` tasks by best fit on accelerators, then memory, and
+ * books it. Returns fewer than `count` rooms where room runs out.
  */
-[[nodiscard]] std::vector<std::size_t> best_fit(std::span<worker_room> rooms,
-                                                const rack_rooms& among, placement_request& request,
-                                                std::size_t count, room_kind kind);
+[[nodiscard]] std::vector<room_number> best_fit(room_index& rooms, search_scope among,
+                                                placement_request& request, std::size_t count,
+                                                room_kind kind);
+
+/** Books a task of the request in a room. */
+void book(room_index& rooms, placement_request& request, room_number room);
 
 /** Takes back what `best_fit` booked. */
-void unbook(std::span<worker_room> rooms, placement_request& request,
-            std::span<const std::size_t> chosen);
+void unbook(room_index& rooms, placement_request& request, std::span<const room_number> chosen);
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/run_supervision.cpp
+++ b/libs/scheduler/src/run_supervision.cpp
@@ -58,6 +58,7 @@
                      " still_for_ms=" + std::to_string(now - place.item->progressed_at_ms));
             place.item->failed_on = id;
             w.quarantined_until_ms = now + stall_quarantine_ms;
+            r.state.rooms.mark(id);
             stop_task(r, name, place, "stalled");
         }
     }
--- a/libs/scheduler/src/work_units.cpp
+++ b/libs/scheduler/src/work_units.cpp
@@ -43,22 +43,6 @@
     return ends_at <= useful_until ? urgency::late : urgency::overdue;
 }
 
-/** Returns the accelerators that all active urgent jobs of each account need at once. */
-std::map<std::string, std::int64_t> urgent_demand(const coordinator_state& state) {
-    std::map<std::string, std::int64_t> demand;
-    for (const auto& [id, j] : state.jobs) {
-        if (j->ended() || j->spec.terms.priority != 0) {
-            continue;
-        }
-        std::int64_t widest = 0;
-        for (const auto& s : j->spec.steps) {
-            widest = std::max(widest, s.per_task.accelerators * s.task_count);
-        }
-        demand[j->spec.account] += widest;
-    }
-    return demand;
-}
-
 void collect_step(work_unit unit, std::vector<work_unit>& units) {
     const step_progress& progress = unit.in->steps[unit.step];
     for (std::uint32_t i = 0; i < progress.tasks.size(); ++i) {
@@ -92,20 +76,36 @@
     }
 }
 
+bool has_idle_task(const job& j) {
+    const auto idle = [](const task& t) { return t.phase == task_phase::idle; };
+    return std::any_of(j.occurrences.begin(), j.occurrences.end(), [&](const occurrence& o) {
+        return std::any_of(o.steps.begin(), o.steps.end(), [&](const step_progress& s) {
+            return std::any_of(s.tasks.begin(), s.tasks.end(), idle);
+        });
+    });
+}
+
+/** Returns whether the account owns all that its urgent jobs need together. */
+bool is_guaranteed(const coordinator_state& state, const job& j) {
+    const auto guarantee = state.accounts.find(j.spec.account);
+    return j.spec.terms.priority == 0 && guarantee != state.accounts.end() &&
+           state.urgent_demand.at(j.spec.account) <= guarantee->second;
+}
+
 } // namespace
 
 std::vector<work_unit> collect_units(coordinator_state& state, time_ms now_ms) {
-    const auto demand = urgent_demand(state);
     std::vector<work_unit> units;
-    for (auto& [id, j] : state.jobs) {
-        if (j->ended() || state.unreadable.contains(id)) {
-            continue;
+    std::erase_if(state.waiting_jobs, [&](const std::string& id) {
+        const auto found = state.jobs.find(id);
+        if (found == state.jobs.end() || found->second->ended() || state.unreadable.contains(id) ||
+            !has_idle_task(*found->second)) {
+            return true;
         }
-        const auto guarantee = state.accounts.find(j->spec.account);
-        const bool guaranteed = j->spec.terms.priority == 0 && guarantee != state.accounts.end() &&
-                                demand.at(j->spec.account) <= guarantee->second;
-        collect_job(*j, guaranteed, now_ms, units);
-    }
+        job& j = *found->second;
+        collect_job(j, is_guaranteed(state, j), now_ms, units);
+        return false;
+    });
     std::sort(units.begin(), units.end(), [](const work_unit& a, const work_unit& b) {
         const auto key = [](const work_unit& u) {
             return std::tie(u.owner->spec.terms.priority, u.class_of_service, u.objective_at_ms,
--- a/libs/scheduler/src/worker_links.cpp
+++ b/libs/scheduler/src/worker_links.cpp
@@ -56,6 +56,7 @@
     w.alive_at_ms = 0;
     w.blamed_by.clear();
     w.quarantined_until_ms = 0;
+    r.state.rooms.mark(w.report.life.id);
 }
 
 void set_clock_reference(worker& w, time_ms clock_ms, time_ms now_ms) {
@@ -206,10 +207,12 @@
         }
     }
     w.strays.clear();
+    r.state.rooms.mark(w.report.life.id);
 }
 
 void apply_report(reduction& r, const worker_report& report) {
     worker& w = r.state.workers[report.life.id];
+    r.state.rooms.mark(report.life.id);
     const bool was_draining = w.report.draining && w.listed;
     const time_ms known_life = w.report.life.born_ms;
     w.report = report;
@@ -236,6 +239,7 @@
     const auto found = r.state.workers.find(id);
     if (found != r.state.workers.end() && found->second.listed) {
         found->second.listed = false;
+        r.state.rooms.mark(id);
         found->second.unlisted_since_ms = r.now.monotonic_ms;
         note(r, "worker_unlisted", "worker=" + id);
     }
@@ -247,6 +251,7 @@
         return;
     }
     worker& w = found->second;
+    r.state.rooms.mark(found->first);
     w.poll_outstanding = false;
     const time_ms known_life = w.report.life.born_ms;
     if (answer.status.born_ms < known_life) {
@@ -276,6 +281,7 @@
         return;
     }
     worker& w = found->second;
+    r.state.rooms.mark(found->first);
     w.poll_outstanding = false;
     if (failure.reason == order_failure::fenced) {
         r.out.emplace_back(leadership_lost{});
@@ -311,6 +317,7 @@
     case order_failure::rejected:
         found->second.quarantined_until_ms =
             std::max(found->second.quarantined_until_ms, r.now.monotonic_ms + refusal_pause_ms);
+        r.state.rooms.mark(answer.worker);
         if (sole_order) {
             release_task(r, answer.task, place, "refused_by_worker");
         } else {
--- a/libs/scheduler/src/worker_upkeep.cpp
+++ b/libs/scheduler/src/worker_upkeep.cpp
@@ -106,6 +106,7 @@
     note(r, "worker_lost",
          "worker=" + w.report.life.id + " failed_polls=" + std::to_string(w.failed_polls));
     w.verified = false;
+    r.state.rooms.mark(w.report.life.id);
     release_all(r, w, "lease_expired");
 }
 
@@ -135,7 +136,12 @@
     }
     std::erase_if(r.state.workers, [&](const auto& entry) {
         const worker& w = entry.second;
-        return !w.listed && w.assigned.empty() && w.strays.empty() && !w.poll_outstanding;
+        const bool gone =
+            !w.listed && w.assigned.empty() && w.strays.empty() && !w.poll_outstanding;
+        if (gone) {
+            r.state.rooms.mark(entry.first);
+        }
+        return gone;
     });
 }
 
