--- a/fulmarworks/client_commands.cpp
+++ b/fulmarworks/client_commands.cpp
@@ -209,7 +209,14 @@
 }
 
 exit_code run_explain(const arguments& args) {
-    TCLAP::CmdLine command("Explains each decision about a job.", ' ', program_version);
+    const bool from_logs = std::any_of(args.begin(), args.end(),
+                                       [](const auto& text) { return text.starts_with("--logs"); });
+    if (from_logs) {
+        return run_explain_logs(args);
+    }
+    TCLAP::CmdLine command("Explains each decision about a job of an instance; with --logs FILE, "
+                           "of a request in saved logs.",
+                           ' ', program_version);
     client_options options(command);
     const job_arguments named(command);
     parse(command, args);
--- a/fulmarworks/command_line.h
+++ b/fulmarworks/command_line.h
@@ -56,6 +56,7 @@
 exit_code run_result(const arguments& args);
 exit_code run_cancel(const arguments& args);
 exit_code run_explain(const arguments& args);
+exit_code run_explain_logs(const arguments& args);
 exit_code run_hosts(const arguments& args);
 
 } // namespace fulmarworks
--- /dev/null
+++ b/fulmarworks/log_commands.cpp
@@ -0,0 +1,62 @@
+#include "command_line.h"
+#include "logs/request_story.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace fulmarworks {
+
+namespace {
+
+void keep_lines(std::istream& in, const std::string& request, std::vector<logs::log_line>& kept) {
+    std::string text;
+    while (std::getline(in, text)) {
+        auto line = logs::parse_log_line(text);
+        if (line && logs::may_concern(*line, request)) {
+            kept.push_back(std::move(*line));
+        }
+    }
+}
+
+void print_line(const logs::log_line& line, time_ms since_ms) {
+    std::cout << "+" << line.at_ms - since_ms << " ms\t" << line.node << "\t" << line.event;
+    for (const auto& [name, value] : line.fields) {
+        std::cout << " " << name << "=" << value;
+    }
+    std::cout << "\n";
+}
+
+} // namespace
+
+exit_code run_explain_logs(const arguments& args) {
+    TCLAP::CmdLine command("Explains a request from the saved logs of all hosts.", ' ',
+                           program_version);
+    TCLAP::MultiArg<std::string> files("", "logs", "file with log lines; - reads standard input",
+                                       true, "FILE", command);
+    TCLAP::UnlabeledValueArg<std::string> request("ID", "id of the request", true, "", "ID",
+                                                  command);
+    parse(command, args);
+    std::vector<logs::log_line> lines;
+    for (const auto& name : files.getValue()) {
+        if (name == "-") {
+            keep_lines(std::cin, request.getValue(), lines);
+            continue;
+        }
+        std::ifstream file(name);
+        if (!file) {
+            return print_error({error_kind::not_found, "can't read " + name,
+                                "give the path of a file with log lines"});
+        }
+        keep_lines(file, request.getValue(), lines);
+    }
+    const auto story = logs::tell_story(lines, request.getValue());
+    for (const auto& line : story.lines) {
+        print_line(line, story.lines.front().at_ms);
+    }
+    for (const auto& finding : story.findings) {
+        std::cout << finding << "\n";
+    }
+    return story.lines.empty() ? exit_code::unknown : exit_code::success;
+}
+
+} // namespace fulmarworks
--- a/fulmarworks/main.cpp
+++ b/fulmarworks/main.cpp
@@ -21,7 +21,8 @@
     {"status", "show the state of a job", run_status},
     {"result", "write the result of a job", run_result},
     {"cancel", "cancel a job", run_cancel},
-    {"explain", "explain the decisions about a job", run_explain},
+    {"explain", "explain the decisions about a job, or with --logs about a request in saved logs",
+     run_explain},
     {"hosts", "list the hosts", run_hosts},
 };
 
--- /dev/null
+++ b/libs/logs/src/log_line.cpp
@@ -0,0 +1,67 @@
+#include "logs/log_line.h"
+
+#include <charconv>
+
+namespace fulmarworks::logs {
+
+namespace {
+
+/** Takes one `key=value` off the front of `rest`; a value in quotes may hold spaces. */
+std::optional<std::pair<std::string_view, std::string_view>> take_field(std::string_view& rest) {
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+    const auto equals = rest.find('=');
+    if (equals == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view key = rest.substr(0, equals);
+    rest.remove_prefix(equals + 1);
+    const bool quoted = !rest.empty() && rest.front() == '"';
+    if (quoted) {
+        rest.remove_prefix(1);
+    }
+    const auto end = std::min(rest.find(quoted ? '"' : ' '), rest.size());
+    const std::string_view value = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    return std::pair(key, value);
+}
+
+} // namespace
+
+std::string_view log_line::field(std::string_view name) const {
+    const auto found = fields.find(name);
+    return found == fields.end() ? std::string_view() : std::string_view(found->second);
+}
+
+std::optional<log_line> parse_log_line(std::string_view text) {
+    const auto begin = text.find("ts=");
+    if (begin == std::string_view::npos || (begin > 0 && text[begin - 1] != ' ')) {
+        return std::nullopt;
+    }
+    text.remove_prefix(begin);
+    while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
+        text.remove_suffix(1);
+    }
+    log_line line;
+    while (const auto field = take_field(text)) {
+        const auto& [key, value] = *field;
+        if (key == "ts") {
+            const auto read =
+                std::from_chars(value.data(), value.data() + value.size(), line.at_ms);
+            if (read.ec != std::errc{}) {
+                return std::nullopt;
+            }
+        } else if (key == "node") {
+            line.node = value;
+        } else if (key == "event") {
+            line.event = value;
+        } else {
+            line.fields.emplace(key, value);
+        }
+    }
+    if (line.at_ms == 0 || line.node.empty() || line.event.empty()) {
+        return std::nullopt;
+    }
+    return line;
+}
+
+} // namespace fulmarworks::logs
