Bound the rate at which idle workers are polled

Cause: at 300 hosts and 3,000 workers the leader used 39 to 42% of its core; idle workers were each polled every 4 s, 750 a second, and as workers close connections after 2 s nearly every poll made a new one (774 and 861 connections a second seen).

Change: the time between polls of an idle worker grows with the fleet, so that they are 100 a second at most; 40 s at most, as clocks drift apart. Fleets of up to 400 workers are polled as before.

--- a/libs/scheduler/src/worker_upkeep.cpp
+++ b/libs/scheduler/src/worker_upkeep.cpp
@@ -9,8 +9,13 @@
 
 /** Time that a busy worker may wait for an end before it answers a poll. */
 constexpr time_ms busy_poll_wait_ms = 1000;
-/** A poll is due when this much is left of a wait that should have been answered. */
+/** Time between polls of a worker that runs nothing, in fleets that the rate below allows it. */
 constexpr time_ms idle_poll_interval_ms = 4000;
+/** Polls of idle workers in a second, of which most need a new connection: about 4% of a core. */
+constexpr std::size_t max_idle_polls_per_s = 100;
+/** Clocks that are 2% apart may differ by less than a second in this time, of the three seconds for
+ * which a start is valid. */
+constexpr time_ms longest_idle_poll_interval_ms = 40'000;
 /** A lease may last this part longer than granted, as a worker's clock may be slow by 2%. */
 constexpr time_ms clock_tolerance_divisor = 40;
 /** Pause after a failed poll, so that an unreachable worker isn't hammered. */
@@ -46,7 +51,13 @@
                                  may_wait ? busy_poll_wait_ms : 0});
 }
 
-bool poll_due(const worker& w, time_ms now_ms) {
+time_ms idle_interval_ms(std::size_t workers) {
+    const auto spread =
+        static_cast<time_ms>(workers / max_idle_polls_per_s) * milliseconds_per_second;
+    return std::clamp(spread, idle_poll_interval_ms, longest_idle_poll_interval_ms);
+}
+
+bool poll_due(const worker& w, time_ms now_ms, time_ms idle_interval) {
     if (w.poll_outstanding || w.report.address.empty()) {
         return false;
     }
@@ -60,7 +71,7 @@
         return false; // asks again once the effect of the ends is stored
     }
     const bool busy = !w.assigned.empty() || !w.strays.empty();
-    return busy || now_ms - w.answered_at_ms >= idle_poll_interval_ms;
+    return busy || now_ms - w.answered_at_ms >= idle_interval;
 }
 
 void repeat_orders(reduction& r, worker& w) {
@@ -124,9 +135,10 @@
 void maintain_workers(reduction& r) {
     const time_ms now = r.now.monotonic_ms;
     const auto drop = [&](const std::string& id) { r.state.rooms.mark(id); };
+    const time_ms idle_interval = idle_interval_ms(r.state.workers.size());
     const auto look_after = [&](worker& w) {
         expire_lease(r, w);
-        if (poll_due(w, now)) {
+        if (poll_due(w, now, idle_interval)) {
             poll(r, w);
         }
         return !w.listed && w.assigned.empty() && w.strays.empty() && !w.poll_outstanding;
--- a/libs/scheduler/tests/coordinator_test.cpp
+++ b/libs/scheduler/tests/coordinator_test.cpp
@@ -314,3 +314,27 @@
     }
     CHECK(polled == workers);
 }
+
+TEST_CASE("idle workers of a large fleet are polled at a bounded rate, each of them in turn") {
+    constexpr std::size_t workers = 1000;
+    constexpr int seconds = 30;
+    constexpr time_ms tick_ms = 25;
+    coordinator_fixture f;
+    for (std::size_t i = 0; i < workers; ++i) {
+        f.send(worker_reported{f.make_report("w" + std::to_string(i))});
+    }
+    std::size_t polls = 0;
+    std::set<std::string> polled;
+    for (time_ms passed = 0; passed < seconds * 1000; passed += tick_ms) {
+        f.advance(tick_ms);
+        for (const auto& poll : f.take_all<send_poll>()) {
+            f.answer_poll(poll.where.id);
+            // The first ones, which ask what an earlier leader left, may come at once.
+            polls += passed > 1000 ? 1 : 0;
+            polled.insert(poll.where.id);
+        }
+    }
+    CHECK(polled.size() == workers);
+    CHECK(polls >= workers);
+    CHECK(polls <= 100 * seconds);
+}
