Refuse jobs and figures that would end every leader in turn

Found by reading while a fuzz test was prepared: a job of 4 billion occurrences with no interval, or of 200 steps of 9,999 tasks each, was accepted and stored; the leader, and each one after it, would have filled its memory with tasks. A task that asks for -8 accelerators added room to its worker, so that others were placed beyond it. Numbers out of a type's range were cast, which may give anything.

--- a/libs/base/include/base/json.h
+++ b/libs/base/include/base/json.h
@@ -2,8 +2,11 @@
 
 #include "base/error.h"
 
+#include <concepts>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string_view>
+#include <utility>
 
 /** Defines JSON conversion of a struct; a missing member keeps its default. */
 #define FULMARWORKS_JSON(...) NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(__VA_ARGS__)
@@ -18,6 +21,30 @@
 /** Parses JSON that came from outside; never throws. Thread safe. */
 [[nodiscard]] result<json> parse_json(std::string_view text);
 
+/**
+ * Returns a number that fits the integer type `T`; a fraction is cut off. Throws `json::exception`
+ * for another type and for a number out of range, which a plain conversion would turn into any
+ * value. Thread safe.
+ */
+template <std::integral T>
+[[nodiscard]] T number_of(const json& j) {
+    constexpr int out_of_range_id = 406;
+    bool in_range = true;
+    if (j.is_number_float()) {
+        const double value = j.get<double>();
+        in_range = value >= static_cast<double>(std::numeric_limits<T>::lowest()) &&
+                   value < static_cast<double>(std::numeric_limits<T>::max());
+    } else if (j.is_number_unsigned()) {
+        in_range = std::in_range<T>(j.get<std::uint64_t>());
+    } else if (j.is_number_integer()) {
+        in_range = std::in_range<T>(j.get<std::int64_t>());
+    }
+    if (!in_range) {
+        throw json::out_of_range::create(out_of_range_id, "number out of range", &j);
+    }
+    return j.get<T>();
+}
+
 /** Converts `j` to `T`; a member of the wrong type is an error. Never throws. Thread safe. */
 template <class T>
 [[nodiscard]] result<T> decode_json(const json& j) {
--- a/libs/scheduler/include/scheduler/job_spec.h
+++ b/libs/scheduler/include/scheduler/job_spec.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fulmarworks::scheduler {
@@ -66,4 +67,10 @@
     time_ms repeat_interval_ms = 0;
 };
 
+/**
+ * Returns what makes the job impossible, or larger than one process should hold; empty if nothing.
+ * Everything else in this library relies on it. Thread safe.
+ */
+[[nodiscard]] std::string_view fault_of(const job_spec& spec);
+
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -187,6 +187,10 @@
     if (!decoded) {
         return decoded.error();
     }
+    if (const auto fault = fault_of(spec); !fault.empty()) {
+        return error{error_kind::malformed_data, "stored job: " + std::string(fault),
+                     "delete its submission, or run the release that accepted it"};
+    }
     return spec;
 }
 
