Fuzz every decoder of the platform, the stored records and the settings under sanitizers

Found and mended: fields of stored records, pages of the store, leases and the settings' seconds were cast from numbers out of range; a lease could be said to last for any time, so that nobody would have taken over. value_of and number_of in libs/base replace the conversions.

--- a/libs/base/include/base/json.h
+++ b/libs/base/include/base/json.h
@@ -45,6 +45,28 @@
     return j.get<T>();
 }
 
+/**
+ * Returns a value of type `T`, integers also inside of a list by `number_of`. Throws
+ * `json::exception` for another type. Thread safe.
+ */
+template <class T>
+[[nodiscard]] T value_of(const json& j) {
+    if constexpr (std::integral<T> && !std::same_as<T, bool>) {
+        return number_of<T>(j);
+    } else if constexpr (requires(T list) {
+                             list.push_back(number_of<typename T::value_type>(j));
+                         } &&
+                         !std::same_as<T, std::string>) {
+        T list;
+        for (const json& element : j) {
+            list.push_back(number_of<typename T::value_type>(element));
+        }
+        return list;
+    } else {
+        return j.get<T>();
+    }
+}
+
 /** Converts `j` to `T`; a member of the wrong type is an error. Never throws. Thread safe. */
 template <class T>
 [[nodiscard]] result<T> decode_json(const json& j) {
--- a/libs/node/src/leadership.cpp
+++ b/libs/node/src/leadership.cpp
@@ -56,6 +56,9 @@
     return now_ms - quiet_since > state.newest->lease_ms + jitter_ms;
 }
 
+/** A record with a longer lease is damaged; leaves room for releases with longer leases. */
+constexpr time_ms plausible_lease_ms = 60'000;
+
 } // namespace
 
 std::string encode_lease(const lease_record& r) {
@@ -76,11 +79,19 @@
     }
     try {
         const json& j = parsed.value();
-        return lease_record{
-            j.at("name").get<std::string>(),          j.at("address").get<std::string>(),
-            j.at("incarnation").get<std::uint64_t>(), j.at("epoch").get<std::uint64_t>(),
-            j.at("write").get<std::uint64_t>(),       j.at("released").get<bool>(),
-            j.at("lease_ms").get<time_ms>()};
+        lease_record record;
+        record.name = j.at("name").get<std::string>();
+        record.address = j.at("address").get<std::string>();
+        record.incarnation = number_of<std::uint64_t>(j.at("incarnation"));
+        record.epoch = number_of<std::uint64_t>(j.at("epoch"));
+        record.write = number_of<std::uint64_t>(j.at("write"));
+        record.released = j.at("released").get<bool>();
+        record.lease_ms = number_of<time_ms>(j.at("lease_ms"));
+        if (record.lease_ms < 0 || record.lease_ms > plausible_lease_ms) {
+            return error{error_kind::malformed_data, "lease record: its time is out of bounds",
+                         "let all entry hosts run the same release"};
+        }
+        return record;
     } catch (const json::exception& e) {
         return error{error_kind::malformed_data, std::string("lease record: ") + e.what(),
                      "let all entry hosts run the same release"};
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** A year; longer times are mistakes of the unit. */
+constexpr double longest_s = 366.0 * 24 * 3600;
+
 /** Reads nested keys and collects what is wrong with them. */
 class reader {
 public:
@@ -38,7 +41,11 @@
     void seconds(const char* key, time_ms& value) {
         double in_seconds = static_cast<double>(value) / milliseconds_per_second;
         positive(key, in_seconds);
-        value = static_cast<time_ms>(in_seconds * milliseconds_per_second);
+        if (in_seconds > longest_s) {
+            add_fault(key, "must be at most a year");
+        } else if (in_seconds > 0) {
+            value = static_cast<time_ms>(in_seconds * milliseconds_per_second);
+        }
     }
 
     [[nodiscard]] const std::string& faults() const { return faults_; }
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -24,6 +24,11 @@
     return j;
 }
 
+template <class T>
+void read(const json& j, T& value) {
+    value = value_of<T>(j);
+}
+
 json encode_step(const step_spec& s) {
     return json::array({s.task_count, s.per_task.cpu_millis, s.per_task.memory_mb,
                         s.per_task.accelerators, s.estimate_ms, s.depends_on, s.required_label,
@@ -34,7 +39,7 @@
 step_spec decode_step(const json& j) {
     step_spec s;
     std::size_t i = 0;
-    const auto next = [&](auto& value) { j.at(i++).get_to(value); };
+    const auto next = [&](auto& value) { read(j.at(i++), value); };
     next(s.task_count);
     next(s.per_task.cpu_millis);
     next(s.per_task.memory_mb);
@@ -86,15 +91,15 @@
         t.phase = j == 1 ? task_phase::complete : task_phase::idle;
         return t;
     }
-    const auto phase = static_cast<stored_phase>(j.at(0).get<int>());
-    j.at(1).get_to(t.run);
-    j.at(2).get_to(t.failures);
-    j.at(3).get_to(t.checkpoint);
-    j.at(4).get_to(t.failed_on);
+    const auto phase = static_cast<stored_phase>(number_of<int>(j.at(0)));
+    read(j.at(1), t.run);
+    read(j.at(2), t.failures);
+    read(j.at(3), t.checkpoint);
+    read(j.at(4), t.failed_on);
     if (phase == stored_phase::assigned) {
         t.phase = task_phase::unsettled;
-        j.at(5).get_to(t.where.id);
-        j.at(6).get_to(t.where.born_ms);
+        read(j.at(5), t.where.id);
+        read(j.at(6), t.where.born_ms);
     }
     return t;
 }
@@ -120,7 +125,7 @@
         step_progress& s = o.steps[i];
         const json& stored = j.at(i);
         if (!stored.is_number()) {
-            stored.at(0).get_to(s.gang_failures);
+            read(stored.at(0), s.gang_failures);
         }
         for (std::size_t k = 0; k < s.tasks.size(); ++k) {
             if (stored.is_number()) {
@@ -167,7 +172,7 @@
     job_spec spec;
     const auto decoded = decode_guarded([&] {
         std::size_t i = 1;
-        const auto next = [&](auto& value) { j.at(i++).get_to(value); };
+        const auto next = [&](auto& value) { read(j.at(i++), value); };
         next(spec.account);
         next(spec.queue);
         next(spec.terms.pool);
@@ -210,9 +215,9 @@
     }
     const json& stored = unpacked.value();
     return decode_guarded([&] {
-        stored.at(1).get_to(j.cancel_requested);
-        stored.at(2).get_to(j.failed);
-        stored.at(3).get_to(j.started);
+        read(stored.at(1), j.cancel_requested);
+        read(stored.at(2), j.failed);
+        read(stored.at(3), j.started);
         for (const json& o : stored.at(4)) {
             occurrence restored =
                 make_occurrence(j.spec, static_cast<std::uint32_t>(j.occurrences.size()));
--- /dev/null
+++ b/tests/fuzz/json_mutator.cpp
@@ -0,0 +1,100 @@
+#include "json_mutator.h"
+
+#include <array>
+#include <cstdint>
+#include <limits>
+
+namespace fulmarworks::fuzz {
+
+namespace {
+
+constexpr std::size_t max_repeats = 300;
+constexpr std::size_t long_text = 5000;
+
+json nested(int depth) {
+    json j = 1;
+    for (int i = 0; i < depth; ++i) {
+        j = json::array({std::move(j)});
+    }
+    return j;
+}
+
+} // namespace
+
+json json_mutator::strange_value() {
+    using limits = std::numeric_limits<std::int64_t>;
+    const std::array<json, 19> values{json(nullptr),
+                                      json(true),
+                                      json(0),
+                                      json(-1),
+                                      json(1),
+                                      json(100000),
+                                      json(4294967295U),
+                                      json(limits::max()),
+                                      json(limits::min()),
+                                      json(std::numeric_limits<std::uint64_t>::max()),
+                                      json(0.5),
+                                      json(-0.5),
+                                      json(1e300),
+                                      json(-1e300),
+                                      json(""),
+                                      json(std::string(long_text, 'x')),
+                                      json::array(),
+                                      json::object(),
+                                      nested(max_json_depth * 2)};
+    return values[below(values.size())];
+}
+
+json& json_mutator::pick(json& document) {
+    json* at = &document;
+    while (at->is_structured() && !at->empty() && !chance(15)) {
+        auto it = at->begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(below(at->size())));
+        at = &*it;
+    }
+    return *at;
+}
+
+void json_mutator::change_once(json& document) {
+    json& target = pick(document);
+    if (target.is_array() && !target.empty() && chance(50)) {
+        const std::size_t repeats = 1 + below(max_repeats);
+        const json element = target[below(target.size())];
+        for (std::size_t i = 0; i < repeats; ++i) {
+            target.push_back(element);
+        }
+    } else if (target.is_object() && !target.empty() && chance(50)) {
+        auto member = target.begin();
+        std::advance(member, static_cast<std::ptrdiff_t>(below(target.size())));
+        target.erase(member);
+    } else if (chance(30)) {
+        const json other = pick(document);
+        target = other;
+    } else {
+        target = strange_value();
+    }
+}
+
+json json_mutator::change(json document) {
+    const std::size_t changes = 1 + below(4);
+    for (std::size_t i = 0; i < changes; ++i) {
+        change_once(document);
+    }
+    return document;
+}
+
+std::string json_mutator::damage(std::string text) {
+    const std::size_t changes = 1 + below(4);
+    for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
+        const std::size_t at = below(text.size());
+        switch (below(4)) {
+        case 0: text[at] = static_cast<char>(below(256)); break;
+        case 1: text.resize(at); break;
+        case 2: text.insert(at, text.substr(below(text.size()), below(40))); break;
+        default: text.erase(at, 1 + below(10)); break;
+        }
+    }
+    return text;
+}
+
+} // namespace fulmarworks::fuzz
