One name for each stand-in, and no setting without effect

The soak's stand-ins of workers and of the store shared their names with those of `serve`; they are soak_worker and soak_store now. gang_timeout_ms was read and never used.

--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -106,7 +106,6 @@
     r.positive("configuration_bound_ms", s.configuration_bound_ms);
     r.positive("max_lease_ms", s.limits.max_lease_ms);
     r.positive("stop_timeout_ms", s.limits.stop_timeout_ms);
-    r.positive("gang_timeout_ms", s.limits.gang_timeout_ms);
     r.positive("reclaim_ms", s.limits.reclaim_ms);
     r.positive("remote_factor", s.limits.remote_factor);
     r.seconds("status_retention_s", s.limits.status_retention_ms);
--- a/libs/scheduler/include/scheduler/settings.h
+++ b/libs/scheduler/include/scheduler/settings.h
@@ -10,8 +10,6 @@
     time_ms max_lease_ms = 6000;
     /** Time that a worker takes at most to stop a run. */
     time_ms stop_timeout_ms = 400;
-    /** Time that the members of a gang wait for one another. */
-    time_ms gang_timeout_ms = 3000;
     /** Time within which guaranteed urgent work must have begun. */
     time_ms reclaim_ms = 2700;
     /** Slow-down of a task away from its data or its gang's rack. */
--- a/tests/soak/leader_test.cpp
+++ b/tests/soak/leader_test.cpp
@@ -2,7 +2,7 @@
 #include "job_loader.h"
 #include "leader.h"
 #include "scheduler/codec.h"
-#include "store_standin.h"
+#include "soak_store.h"
 
 #include <catch2/catch.hpp>
 
@@ -37,7 +37,7 @@
 /** A leader on the store's stand-in, without workers. */
 struct leader_fixture {
     event_loop loop;
-    soak::store_standin store{loop};
+    soak::soak_store store{loop};
     http_client http{loop};
     std::string address = "127.0.0.1:" + std::to_string(find_free_ports(1));
     platform::store_client client{http, address};
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -4,7 +4,7 @@
 #include "fault_proxy.h"
 #include "free_ports.h"
 #include "soak_client.h"
-#include "worker_standin.h"
+#include "soak_worker.h"
 
 #include <csignal>
 #include <deque>
@@ -100,7 +100,7 @@
     void add_worker(int i, int port) {
         constexpr double slowest_clock = 0.98;
         const double rate = i % 3 == 0 ? slowest_clock : 1;
-        workers_.push_back(std::make_unique<worker_standin>(
+        workers_.push_back(std::make_unique<soak_worker>(
             worker_context{loop_, store_, rules_, gangs_}, "w" + std::to_string(i), loopback(port),
             "r" + std::to_string(i / workers_in_rack), rate));
         require(workers_.back()->listen());
@@ -123,7 +123,7 @@
             << "\nreadiness_address: " << loopback(port + 1) << "\ninternal_port: " << port + 2
             << "\nstore_address: " << loopback(port + 3)
             << "\ncpu_share: 0.25\nstop_grace_s: 6\nconfiguration_bound_ms: 2000\n"
-            << "max_lease_ms: 6000\nstop_timeout_ms: 200\ngang_timeout_ms: 3000\n"
+            << "max_lease_ms: 6000\nstop_timeout_ms: 200\n"
             << "reclaim_ms: 2700\nremote_factor: 3\nstatus_retention_s: 120\n";
         hosts_.push_back(std::move(host));
         start(hosts_.back());
@@ -213,7 +213,7 @@
     }
 
     void schedule_worker_fault(time_ms at, time_ms lasts) {
-        worker_standin* w = workers_[random_() % workers_.size()].get();
+        soak_worker* w = workers_[random_() % workers_.size()].get();
         static constexpr std::pair<worker_fault, const char*> kinds[] = {
             {worker_fault::unreachable, "worker unreachable"},
             {worker_fault::hang, "worker hangs"},
@@ -342,10 +342,10 @@
     std::mt19937_64 random_;
     std::string directory_;
     event_loop loop_;
-    store_standin store_;
+    soak_store store_;
     rule_book rules_;
     gang_presence gangs_;
-    std::vector<std::unique_ptr<worker_standin>> workers_;
+    std::vector<std::unique_ptr<soak_worker>> workers_;
     std::deque<entry_host> hosts_;
     std::unique_ptr<soak_client> client_;
     soak_report report_;
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/soak_store.cpp
@@ -1,4 +1,4 @@
-#include "store_standin.h"
+#include "soak_store.h"
 
 #include "base/time.h"
 
@@ -55,9 +55,9 @@
 
 } // namespace
 
-store_standin::store_standin(event_loop& loop) : loop_(loop) {}
+soak_store::soak_store(event_loop& loop) : loop_(loop) {}
 
-result<bool> store_standin::listen(const std::string& address) {
+result<bool> soak_store::listen(const std::string& address) {
     auto server = http_server::Builder()
                       .address(address)
                       .max_body_bytes(max_body)
@@ -73,18 +73,17 @@
     return true;
 }
 
-void store_standin::put(const std::string& topic, const std::string& key,
-                        const std::string& value) {
+void soak_store::put(const std::string& topic, const std::string& key, const std::string& value) {
     add(topics_[topic], key, value);
 }
 
-void store_standin::set_mode(store_mode mode, time_ms delay_ms) {
+void soak_store::set_mode(store_mode mode, time_ms delay_ms) {
     mode_ = mode;
     delay_ms_ = delay_ms;
 }
 
-std::optional<std::string> store_standin::newest_of(const std::string& topic,
-                                                    const std::string& key) const {
+std::optional<std::string> soak_store::newest_of(const std::string& topic,
+                                                 const std::string& key) const {
     const auto in = topics_.find(topic);
     if (in == topics_.end() || !in->second.newest.contains(key)) {
         return std::nullopt;
@@ -92,13 +91,13 @@
     return in->second.records[in->second.newest.at(key)].value;
 }
 
-void store_standin::forget_history() {
+void soak_store::forget_history() {
     for (auto& [name, topic] : topics_) {
         topic.first_kept = topic.records.size();
     }
 }
 
-void store_standin::add(topic_state& topic, std::string key, std::string value) {
+void soak_store::add(topic_state& topic, std::string key, std::string value) {
     if (value.empty()) {
         topic.newest.erase(key);
     } else {
@@ -107,7 +106,7 @@
     topic.records.push_back({std::move(key), std::move(value)});
 }
 
-void store_standin::handle(const http_request& request, std::uint64_t token) {
+void soak_store::handle(const http_request& request, std::uint64_t token) {
     const bool refused =
         !refused_topic_.empty() && query_value(request.query, "topic") == refused_topic_;
     if (mode_ == store_mode::busy || refused) {
@@ -133,7 +132,7 @@
     }
 }
 
-void store_standin::answer(std::uint64_t token, const http_response& response) {
+void soak_store::answer(std::uint64_t token, const http_response& response) {
     if (mode_ == store_mode::slow) {
         loop_.after(delay_ms_, [this, token, response] { server_->respond(token, response); });
     } else {
@@ -141,7 +140,7 @@
     }
 }
 
-http_response store_standin::append(const http_request& request) {
+http_response soak_store::append(const http_request& request) {
     topic_state& topic = topics_[query_value(request.query, "topic")];
     const std::uint64_t end = topic.records.size();
     const std::string expected = query_value(request.query, "at");
@@ -185,7 +184,7 @@
     return response;
 }
 
-http_response store_standin::newest(const http_request& request) {
+http_response soak_store::newest(const http_request& request) {
     const topic_state& topic = topics_[query_value(request.query, "topic")];
     auto next = topic.newest.upper_bound(query_value(request.query, "dependsOn"));
     json items = json::array();
@@ -199,7 +198,7 @@
         {{"items", items}, {"hasMore", next != topic.newest.end()}, {"end", topic.records.size()}});
 }
 
-http_response store_standin::read_response(const std::string& name, std::uint64_t from) {
+http_response soak_store::read_response(const std::string& name, std::uint64_t from) {
     const topic_state& topic = topics_[name];
     if (from < topic.first_kept) {
         return reply(410, {{"first", topic.first_kept}});
@@ -215,7 +214,7 @@
     return response;
 }
 
-void store_standin::read(const http_request& request, std::uint64_t token) {
+void soak_store::read(const http_request& request, std::uint64_t token) {
     const std::string topic = query_value(request.query, "topic");
     const auto from = static_cast<std::uint64_t>(query_number(request.query, "from", 0));
     const time_ms wait = query_number(request.query, "waitMs", 0);
@@ -227,7 +226,7 @@
     }
 }
 
-void store_standin::answer_waiting() {
+void soak_store::answer_waiting() {
     if (mode_ == store_mode::silent) {
         return;
     }
--- a/tests/soak/store_standin.h
+++ b/tests/soak/soak_store.h
@@ -25,9 +25,9 @@
  * The platform's log store in memory, as its protocol describes it: keyed topics, conditional and
  * fenced appends, reads that wait, expiring history. Not thread safe.
  */
-class store_standin {
+class soak_store {
 public:
-    explicit store_standin(event_loop& loop);
+    explicit soak_store(event_loop& loop);
 
     [[nodiscard]] result<bool> listen(const std::string& address);
 
--- a/tests/soak/worker_standin.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -1,4 +1,4 @@
-#include "worker_standin.h"
+#include "soak_worker.h"
 
 #include <algorithm>
 
@@ -31,13 +31,13 @@
 
 } // namespace
 
-worker_standin::worker_standin(worker_context context, std::string id, std::string address,
-                               std::string rack, double clock_rate)
+soak_worker::soak_worker(worker_context context, std::string id, std::string address,
+                         std::string rack, double clock_rate)
     : context_(context), id_(std::move(id)), address_(std::move(address)), rack_(std::move(rack)),
       clock_rate_(clock_rate), born_wall_(wall_now()), began_at_(monotonic_now()),
       advanced_at_(began_at_) {}
 
-result<bool> worker_standin::listen() {
+result<bool> soak_worker::listen() {
     auto server = http_server::Builder()
                       .address(address_)
                       .header("X-Fulmarworks-Expected-Instance")
@@ -53,13 +53,13 @@
     return true;
 }
 
-time_ms worker_standin::clock() const {
+time_ms soak_worker::clock() const {
     constexpr time_ms offset_ms = 100000;
     return offset_ms +
            static_cast<time_ms>(static_cast<double>(monotonic_now() - began_at_) * clock_rate_);
 }
 
-scheduler::resources worker_standin::used() const {
+scheduler::resources soak_worker::used() const {
     scheduler::resources sum;
     for (const auto& run : runs_) {
         sum += run.shape.per_task;
@@ -67,7 +67,7 @@
     return sum;
 }
 
-void worker_standin::handle(const http_request& request, std::uint64_t token) {
+void soak_worker::handle(const http_request& request, std::uint64_t token) {
     if (gone_ || fault_ == worker_fault::unreachable) {
         return;
     }
@@ -96,7 +96,7 @@
     }
 }
 
-bool worker_standin::accept_token(const json& order) {
+bool soak_worker::accept_token(const json& order) {
     const auto token = order.value("fencingToken", std::uint64_t{0});
     if (token < highest_token_) {
         return false;
@@ -105,13 +105,13 @@
     return true;
 }
 
-void worker_standin::extend_lease(const json& order) {
+void soak_worker::extend_lease(const json& order) {
     const time_ms now = clock();
     const time_ms end = std::min(order.value("deadlineMs", time_ms{0}), now + longest_lease_ms);
     lease_ends_ = std::max(lease_ends_, end);
 }
 
-std::string worker_standin::refusal_of(const json& order, const task_name& task, int run) const {
+std::string soak_worker::refusal_of(const json& order, const task_name& task, int run) const {
     const auto barred = barred_.find(task.text);
     if (barred != barred_.end() && run <= barred->second) {
         return "old";
@@ -119,7 +119,7 @@
     return order.value("deadlineMs", time_ms{0}) <= clock() ? "late" : "";
 }
 
-http_response worker_standin::start(const json& order) {
+http_response soak_worker::start(const json& order) {
     if (!accept_token(order)) {
         return reply(409, {{"reason", "fence"}}, clock());
     }
@@ -145,7 +145,7 @@
     return reply(200, json::object(), clock());
 }
 
-http_response worker_standin::stop(const json& order) {
+http_response soak_worker::stop(const json& order) {
     if (!accept_token(order)) {
         return reply(409, {{"reason", "fence"}}, clock());
     }
@@ -160,7 +160,7 @@
     return reply(200, json::object(), clock());
 }
 
-void worker_standin::poll(const json& order, std::uint64_t token) {
+void soak_worker::poll(const json& order, std::uint64_t token) {
     if (!accept_token(order)) {
         server_->respond(token, reply(409, {{"reason", "fence"}}, clock()));
         return;
@@ -183,7 +183,7 @@
     }
 }
 
-http_response worker_standin::lists() const {
+http_response soak_worker::lists() const {
     json running = json::array();
     for (const auto& r : runs_) {
         const double part = r.done_ms / static_cast<double>(std::max<time_ms>(r.shape.run_ms, 1));
@@ -199,12 +199,12 @@
                  clock());
 }
 
-bool worker_standin::gang_present(const run_state& run) const {
+bool soak_worker::gang_present(const run_state& run) const {
     const auto found = context_.gangs.find(gang_key(run.task, run.run));
     return !run.shape.gang || (found != context_.gangs.end() && found->second == run.shape.tasks);
 }
 
-void worker_standin::move_on(run_state& run, time_ms passed_ms) {
+void soak_worker::move_on(run_state& run, time_ms passed_ms) {
     if (gang_present(run)) {
         run.was_complete = true;
         const double slowed = fault_ == worker_fault::slow ? slow_factor : 1;
@@ -212,7 +212,7 @@
     }
 }
 
-std::string worker_standin::end_of(const run_state& run) const {
+std::string soak_worker::end_of(const run_state& run) const {
     constexpr double failing_share = 0.3;
     const time_ms now = monotonic_now();
     const auto whole = static_cast<double>(run.shape.run_ms);
@@ -237,7 +237,7 @@
     return "";
 }
 
-void worker_standin::end(std::size_t index, const std::string& how) {
+void soak_worker::end(std::size_t index, const std::string& how) {
     const run_state run = runs_[index];
     runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
     barred_[run.task.text] = std::max(barred_[run.task.text], run.run);
@@ -249,7 +249,7 @@
     }
 }
 
-void worker_standin::advance() {
+void soak_worker::advance() {
     const time_ms now = monotonic_now();
     const time_ms passed = now - advanced_at_;
     advanced_at_ = now;
@@ -291,7 +291,7 @@
     }
 }
 
-void worker_standin::heartbeat() {
+void soak_worker::heartbeat() {
     heartbeat_at_ = monotonic_now();
     json entry = {{"service", "pool"},
                   {"address", address_},
@@ -313,7 +313,7 @@
     context_.store.put("keyed.servers", id_, entry.dump());
 }
 
-void worker_standin::drop_everything() {
+void soak_worker::drop_everything() {
     for (const auto& run : runs_) {
         context_.rules.ended(run.task, "died");
         if (run.shape.gang) {
@@ -328,7 +328,7 @@
     lease_ends_ = 0;
 }
 
-void worker_standin::restart() {
+void soak_worker::restart() {
     drop_everything();
     born_wall_ = std::max(wall_now(), born_wall_ + 1);
     began_at_ = monotonic_now();
@@ -338,13 +338,13 @@
     }
 }
 
-void worker_standin::drain(time_ms remaining_ms) {
+void soak_worker::drain(time_ms remaining_ms) {
     draining_ = true;
     leaves_at_ = monotonic_now() + remaining_ms;
     heartbeat();
 }
 
-void worker_standin::come_back() {
+void soak_worker::come_back() {
     if (!draining_) {
         return;
     }
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/soak_worker.h
@@ -2,7 +2,7 @@
 
 #include "http/http_server.h"
 #include "rule_book.h"
-#include "store_standin.h"
+#include "soak_store.h"
 
 #include <functional>
 #include <map>
@@ -29,7 +29,7 @@
 /** What a worker needs of the soak around it. All outlive the worker. */
 struct worker_context {
     event_loop& loop;
-    store_standin& store;
+    soak_store& store;
     rule_book& rules;
     gang_presence& gangs;
 };
@@ -38,10 +38,10 @@
  * One worker of the platform: it carries out orders under fencing tokens and leases, lists what
  * runs and what ended, and writes heartbeats into the registry. Not thread safe.
  */
-class worker_standin {
+class soak_worker {
 public:
-    worker_standin(worker_context context, std::string id, std::string address, std::string rack,
-                   double clock_rate);
+    soak_worker(worker_context context, std::string id, std::string address, std::string rack,
+                double clock_rate);
 
     [[nodiscard]] result<bool> listen();
 
