--- a/libs/logs/src/request_story.cpp
+++ b/libs/logs/src/request_story.cpp
@@ -120,6 +120,10 @@
     return text;
 }
 
+std::string counted(std::uint32_t count, std::string_view noun) {
+    return std::to_string(count) + " " + std::string(noun) + (count == 1 ? "" : "s");
+}
+
 void read_refusal(reader& r, const log_line& line) {
     const auto reason = line.field("reason");
     const auto known = std::find_if(refusal_reasons.begin(), refusal_reasons.end(),
@@ -185,18 +189,18 @@
 
 void conclude(reader& r) {
     if (r.stops > 0) {
-        r.tell(std::to_string(r.stops) + " runs were stopped (" + join(r.stop_reasons) + ")");
+        r.tell("stopped: " + counted(r.stops, "run") + " (" + join(r.stop_reasons) + ")");
     }
     if (r.lost_runs > 0) {
-        r.tell(std::to_string(r.lost_runs) + " runs were given up (" + join(r.loss_reasons) + ")");
+        r.tell("given up: " + counted(r.lost_runs, "run") + " (" + join(r.loss_reasons) + ")");
     }
     if (r.failed_runs > 0) {
-        r.tell(std::to_string(r.failed_runs) + " runs failed, on " + join(r.failing_workers) +
+        r.tell("failed: " + counted(r.failed_runs, "run") + ", on " + join(r.failing_workers) +
                (r.failing_workers.size() > 1 ? ": the job itself is likely at fault"
                                              : ": that worker may be at fault"));
     }
     if (r.leaders > 0) {
-        r.tell(std::to_string(r.leaders) + " hosts began to lead meanwhile");
+        r.tell("began to lead meanwhile: " + counted(r.leaders, "host"));
     }
     if (!r.answered) {
         r.tell("no end and no refusal is logged: the job may still be active, or the logs of the "
--- a/libs/logs/tests/request_story_test.cpp
+++ b/libs/logs/tests/request_story_test.cpp
@@ -78,8 +78,8 @@
     CHECK(std::is_sorted(story.lines.begin(), story.lines.end(),
                          [](const auto& a, const auto& b) { return a.at_ms < b.at_ms; }));
     CHECK(tells(story, "waited 1000 ms"));
-    CHECK(tells(story, "1 runs were stopped (preempted)"));
-    CHECK(tells(story, "1 runs were given up (lease_expired)"));
+    CHECK(tells(story, "stopped: 1 run (preempted)"));
+    CHECK(tells(story, "given up: 1 run (lease_expired)"));
     CHECK(tells(story, "ended completed after 4000 ms"));
     CHECK(tells(story, "lines are missing from these logs (task_placed)"));
 }
@@ -95,8 +95,8 @@
     texts.emplace_back("ts=1150 node=e2 event=leader_started epoch=2");
     texts.emplace_back("ts=1300 node=e2 event=job_ended request=a state=failed age_ms=300");
     const auto story = tell_story(parse_all(texts), "a");
-    CHECK(tells(story, "the job itself is likely at fault"));
-    CHECK(tells(story, "1 hosts began to lead meanwhile"));
+    CHECK(tells(story, "failed: 2 runs, on w1, w2: the job itself is likely at fault"));
+    CHECK(tells(story, "began to lead meanwhile: 1 host"));
 }
 
 TEST_CASE("an unknown request says what to check") {
