--- a/libs/scheduler/include/scheduler/resources.h
+++ b/libs/scheduler/include/scheduler/resources.h
@@ -25,6 +25,10 @@
         return *this;
     }
 
+    friend resources operator-(const resources& r) {
+        return {-r.cpu_millis, -r.memory_mb, -r.accelerators};
+    }
+
     friend bool operator==(const resources&, const resources&) = default;
 };
 
--- a/libs/scheduler/src/preemption.cpp
+++ b/libs/scheduler/src/preemption.cpp
@@ -165,8 +165,7 @@
     }
     a.choice.cost += best->cost;
     a.choice.chosen.push_back(best->room);
-    resources taken;
-    taken -= booked(*a.request.spec);
+    const resources taken = -booked(*a.request.spec);
     a.change({best->room, taken, taken});
     ++a.request.already_there[a.state.rooms.at(best->room).id];
     return true;
--- a/libs/scheduler/src/rooms.cpp
+++ b/libs/scheduler/src/rooms.cpp
@@ -17,12 +17,6 @@
     return kind == room_kind::free ? room.free : room.soon;
 }
 
-resources negative(const resources& r) {
-    resources n;
-    n -= r;
-    return n;
-}
-
 /** Best room of one search so far. */
 struct best_room {
     std::optional<room_index::search_key> key;
@@ -175,13 +169,13 @@
 }
 
 void book(room_index& rooms, placement_request& request, room_number room) {
-    const resources taken = negative(booked(*request.spec));
+    const resources taken = -booked(*request.spec);
     rooms.adjust({room, taken, taken});
     ++request.already_there[rooms.at(room).id];
 }
 
 void unbook(room_index& rooms, placement_request& request, std::span<const room_number> chosen) {
-    const resources taken = negative(booked(*request.spec));
+    const resources taken = -booked(*request.spec);
     for (const room_number room : chosen) {
         rooms.revert({room, taken, taken});
         --request.already_there[rooms.at(room).id];
