--- a/libs/scheduler/src/planner.h
+++ b/libs/scheduler/src/planner.h
@@ -20,7 +20,11 @@
     std::vector<preemption> preemptions;
 };
 
-/** Decides what to start and what to stop; changes only readiness times. */
+/**
+ * Decides what to start and what to stop. Changes readiness times and reservations; what it books
+ * in the rooms is a proposal, and is measured again for the next plan. Precondition: the rooms are
+ * refreshed.
+ */
 [[nodiscard]] plan make_plan(coordinator_state& state, time_ms now_ms);
 
 } // namespace fulmarworks::scheduler
--- /dev/null
+++ b/tests/soak/mutants.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Plants one fault at a time in a copy of the sources and checks that the soak reports the rule that it
+# breaks: mutants.sh WORK_DIR [RULE...]. Takes some minutes a fault; run by hand.
+set -euo pipefail
+work=$(realpath "$1")
+shift
+root=$(cd "$(dirname "$0")/../.." && pwd)
+seeds=6
+
+# rule | file | sed expression
+faults() {
+    cat <<'FAULTS'
+TWICE|libs/scheduler/src/codec.cpp|s/t.phase = task_phase::unsettled;/t.phase = task_phase::idle;/
+LIMIT|libs/scheduler/src/rooms.cpp|/room.free -= booked(\*place.spec);/d
+ORDER|libs/scheduler/src/work_units.cpp|s/ || !dependencies_complete(j.spec, o, s)//
+BUDGET|libs/scheduler/src/lifecycle.cpp|s/failures >= place.owner->spec.terms.max_attempts/failures >= place.owner->spec.terms.max_attempts + 5/
+UNASKED|libs/scheduler/src/coordinator.cpp|/j.cancel_requested = true;/{n;d}
+REFUSED|libs/node/src/caller_api.cpp|s/open->undecided = open->undecided .*/open->undecided = false;/
+MIXED|libs/scheduler/src/job.cpp|/bool occurrence::complete/,/^}/s/all_of/any_of/
+LOST|libs/node/src/caller_api.cpp|s/if (outcome == platform::store_status::ok) {/if (outcome != platform::store_status::no_answer) {/
+FAULTS
+}
+
+wanted() { [ $# -eq 1 ] || [[ " ${*:2} " == *" $1 "* ]]; }
+
+mkdir -p "$work"
+(cd "$root" && git ls-files -z | tar cf - --null -T -) | (cd "$work" && tar xf -)
+cmake -S "$work" -B "$work/build" -G Ninja >/dev/null
+missed=0
+while IFS='|' read -r rule file change; do
+    wanted "$rule" "$@" || continue
+    sed "$change" "$root/$file" >"$work/$file"
+    cmp -s "$root/$file" "$work/$file" && { echo "$rule: the fault doesn't apply any more"; exit 1; }
+    if ! ninja -C "$work/build" -j "${JOBS:-4}" --quiet fulmarworks platform_soak >"$work/build.txt" 2>&1; then
+        echo "$rule: the fault doesn't compile, see $work/build.txt"
+        exit 1
+    fi
+    report="$work/$rule.txt"
+    "$work/build/tests/soak/platform_soak" --seed 1 --seeds "$seeds" >"$report" 2>&1 || true
+    if grep -q "$rule" "$report"; then
+        echo "$rule: reported, $(grep -m1 "$rule" "$report")"
+    else
+        echo "$rule: NOT reported in $seeds seeds, see $report"
+        missed=1
+    fi
+    cp "$root/$file" "$work/$file"
+done < <(faults)
+exit $missed
