Let the benchmark of decisions write its results

Cause: `./build.sh bench decisions` aborted when it wrote CSV, as only one of its cases reports counters (csv_reporter: "All counters must be present in each run"), and it left out the coordinator's cases.

--- a/build.sh
+++ b/build.sh
@@ -17,7 +17,7 @@
   build [--sanitize]        compile everything
   test [--sanitize]         build, check format and lint, run all tests
   demo [vormpulp|kopjeskraal]   run a deployment on loopback and check every outcome
-  bench [policy|decisions|capacity|plot]  run benchmarks, writing CSV to build/bench
+  bench [policy|decisions|capacity|plot]  run benchmarks, writing to build/bench
   soak --seed N --minutes M      random faults against real entry hosts (--seeds, --logs, --verbose)
   soak-reducers --seed N --minutes M  the same for `serve`, in virtual time
   format                    reformat the sources
