Plan without repeated lookups and passes

Cause, found by reading the change as a whole: a plan went through the tasks of each waiting job twice (is one idle; which are), worked out the objective of a job for each of its steps, looked up every rack by name for each gang, kept a count by worker that only max_tasks_per_worker reads, and looked up every member of a gang again for each room that its end could free. rack_rooms::name was never read, and preemption booked by hand what book() does.

The differential test, the replayed loads and all other tests of the scheduler pass unchanged.

Change: one pass that also tells whether a job still waits; racks are handed out as pointers; victims know what they free where they were found; book() returns its change.

--- a/libs/scheduler/include/scheduler/room_index.h
+++ b/libs/scheduler/include/scheduler/room_index.h
@@ -32,7 +32,6 @@
 
 /** Rooms of one rack, with sums over the open ones that let hopeless searches end early. */
 struct rack_rooms {
-    std::string name;
     std::vector<room_number> rooms;
     std::int64_t free_accelerators = 0;
     std::int64_t soon_accelerators = 0;
@@ -86,9 +85,12 @@
     [[nodiscard]] const std::set<room_number>& with_stops() const { return with_stops_; }
 
     /** Returns the rack of a name; null without any worker there. */
-    [[nodiscard]] const rack_rooms* rack(std::string_view name) const;
-    /** Returns free accelerators and name of each rack, the fullest rack first. */
-    [[nodiscard]] const std::set<std::pair<std::int64_t, std::string_view>>& racks() const {
+    [[nodiscard]] const rack_rooms* rack(const std::string& name) const;
+    /** Free accelerators and name of a rack. */
+    using rack_key = std::pair<std::int64_t, std::string_view>;
+
+    /** Returns all racks, the fullest first. */
+    [[nodiscard]] const std::map<rack_key, const rack_rooms*>& racks() const {
         return racks_by_free_;
     }
 
@@ -116,8 +118,8 @@
     std::unordered_map<std::string, room_number> numbers_;
     std::map<std::string, std::set<search_key>> open_;
     std::set<room_number> with_stops_;
-    std::map<std::string, rack_rooms, std::less<>> racks_;
-    std::set<std::pair<std::int64_t, std::string_view>> racks_by_free_;
+    std::map<std::string, rack_rooms> racks_;
+    std::map<rack_key, const rack_rooms*> racks_by_free_;
     std::set<std::string> marked_;
     std::int64_t free_accelerators_ = 0;
     std::int64_t all_accelerators_ = 0;
--- a/libs/scheduler/src/planner.cpp
+++ b/libs/scheduler/src/planner.cpp
@@ -47,7 +47,7 @@
 placement_request make_request(const work_unit& unit) {
     placement_request request{unit.owner, &unit.spec(), {}, {}};
     for (const auto& t : unit.in->steps[unit.step].tasks) {
-        if (is_assigned(t.phase)) {
+        if (limits_tasks_per_worker(request) && is_assigned(t.phase)) {
             ++request.already_there[t.where.id];
         }
         if (!t.failed_on.empty()) {
@@ -92,8 +92,8 @@
             racks.push_back(rack);
         }
     } else if (wants_one_rack(unit.spec())) {
-        for (const auto& [free, name] : p.rooms().racks()) {
-            racks.push_back(p.rooms().rack(name));
+        for (const auto& [key, rack] : p.rooms().racks()) {
+            racks.push_back(rack);
         }
     }
     return racks;
@@ -276,7 +276,7 @@
 
 void note_if_hopeless(planning& p, const work_unit& unit, const placement_request& request) {
     const bool restricted = !request.spec->required_label.empty() || !request.avoid.empty() ||
-                            request.spec->max_tasks_per_worker != 0;
+                            limits_tasks_per_worker(request);
     if (!restricted) {
         p.hopeless.emplace_back(unit.owner->spec.terms.pool, booked(unit.spec()));
     }
--- a/libs/scheduler/src/preemption.cpp
+++ b/libs/scheduler/src/preemption.cpp
@@ -46,6 +46,7 @@
     victim v;
     if (!place.spec->gang) {
         v.members.push_back(id);
+        v.frees = booked(*place.spec);
         v.cost = loss_of(*place.item, *place.spec, now_ms);
         return v;
     }
@@ -54,6 +55,9 @@
         if (stoppable(member.phase)) {
             v.members.push_back({id.job, id.occurrence, id.step, i});
             v.cost += loss_of(member, *place.spec, now_ms);
+            if (member.where.id == place.item->where.id) {
+                v.frees += booked(*place.spec);
+            }
         }
     }
     return v;
@@ -110,12 +114,7 @@
         if (a.stopped.contains(v.members.front())) {
             continue;
         }
-        for (const auto& id : v.members) {
-            const task_place place = find_task(a.state, id);
-            if (place.item->where.id == room.id) {
-                soon += booked(*place.spec);
-            }
-        }
+        soon += v.frees;
         offer.cost += v.cost;
         offer.victims.push_back(&v);
     }
@@ -165,9 +164,7 @@
     }
     a.choice.cost += best->cost;
     a.choice.chosen.push_back(best->room);
-    const resources taken = -booked(*a.request.spec);
-    a.change({best->room, taken, taken});
-    ++a.request.already_there[a.state.rooms.at(best->room).id];
+    a.choice.changes.push_back(book(a.state.rooms, a.request, best->room));
     return true;
 }
 
--- a/libs/scheduler/src/preemption.h
+++ b/libs/scheduler/src/preemption.h
@@ -11,6 +11,8 @@
 /** A run, or a whole gang, that can be stopped. */
 struct victim {
     std::vector<task_id> members;
+    /** Room that it gives back on the worker it was found on. */
+    resources frees;
     double cost = 0;
 };
 
--- a/libs/scheduler/src/room_index.cpp
+++ b/libs/scheduler/src/room_index.cpp
@@ -83,7 +83,7 @@
     return found == open_.end() ? none : found->second;
 }
 
-const rack_rooms* room_index::rack(std::string_view name) const {
+const rack_rooms* room_index::rack(const std::string& name) const {
     const auto found = racks_.find(name);
     return found == racks_.end() ? nullptr : &found->second;
 }
@@ -91,8 +91,7 @@
 void room_index::join_rack(room_number room) {
     const auto [rack, added] = racks_.try_emplace(places_[room].rack);
     if (added) {
-        rack->second.name = rack->first;
-        racks_by_free_.emplace(0, rack->first);
+        racks_by_free_.emplace(rack_key(0, rack->first), &rack->second);
     }
     rack->second.rooms.push_back(room);
 }
@@ -120,7 +119,7 @@
     rack->second.free_accelerators += share_of(r.free);
     rack->second.soon_accelerators += share_of(r.soon);
     rack->second.all_accelerators += places_[room].accelerators;
-    racks_by_free_.emplace(rack->second.free_accelerators, rack->first);
+    racks_by_free_.emplace(rack_key(rack->second.free_accelerators, rack->first), &rack->second);
     free_accelerators_ += share_of(r.free);
     all_accelerators_ += places_[room].accelerators;
 }
@@ -137,7 +136,7 @@
     rack->second.free_accelerators -= share_of(r.free);
     rack->second.soon_accelerators -= share_of(r.soon);
     rack->second.all_accelerators -= places_[room].accelerators;
-    racks_by_free_.emplace(rack->second.free_accelerators, rack->first);
+    racks_by_free_.emplace(rack_key(rack->second.free_accelerators, rack->first), &rack->second);
     free_accelerators_ -= share_of(r.free);
     all_accelerators_ -= places_[room].accelerators;
 }
--- a/libs/scheduler/src/rooms.cpp
+++ b/libs/scheduler/src/rooms.cpp
@@ -134,7 +134,7 @@
     if (request.avoid.contains(room.id)) {
         return false;
     }
-    if (request.spec->max_tasks_per_worker == 0) {
+    if (!limits_tasks_per_worker(request)) {
         return true;
     }
     const auto there = request.already_there.find(room.id);
@@ -168,17 +168,23 @@
     return chosen;
 }
 
-void book(room_index& rooms, placement_request& request, room_number room) {
+room_change book(room_index& rooms, placement_request& request, room_number room) {
     const resources taken = -booked(*request.spec);
-    rooms.adjust({room, taken, taken});
-    ++request.already_there[rooms.at(room).id];
+    const room_change change{room, taken, taken};
+    rooms.adjust(change);
+    if (limits_tasks_per_worker(request)) {
+        ++request.already_there[rooms.at(room).id];
+    }
+    return change;
 }
 
 void unbook(room_index& rooms, placement_request& request, std::span<const room_number> chosen) {
     const resources taken = -booked(*request.spec);
     for (const room_number room : chosen) {
         rooms.revert({room, taken, taken});
-        --request.already_there[rooms.at(room).id];
+        if (limits_tasks_per_worker(request)) {
+            --request.already_there[rooms.at(room).id];
+        }
     }
 }
 
--- a/libs/scheduler/src/rooms.h
+++ b/libs/scheduler/src/rooms.h
@@ -25,6 +25,11 @@
     std::set<std::string> avoid;
 };
 
+/** Returns whether `already_there` counts. */
+[[nodiscard]] inline bool limits_tasks_per_worker(const placement_request& request) {
+    return request.spec->max_tasks_per_worker != 0;
+}
+
 /** Returns whether the worker may run tasks of the request, whatever its room is. */
 [[nodiscard]] bool eligible(const worker_room& room, const placement_request& request);
 
@@ -46,8 +51,8 @@
                                                 placement_request& request, std::size_t count,
                                                 room_kind kind);
 
-/** Books a task of the request in a room. */
-void book(room_index& rooms, placement_request& request, room_number room);
+/** Books a task of the request in a room. Returns the change. */
+room_change book(room_index& rooms, placement_request& request, room_number room);
 
 /** Takes back what `best_fit` booked. */
 void unbook(room_index& rooms, placement_request& request, std::span<const room_number> chosen);
--- a/libs/scheduler/src/work_units.cpp
+++ b/libs/scheduler/src/work_units.cpp
@@ -3,6 +3,7 @@
 #include "lookup.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace fulmarworks::scheduler {
@@ -43,24 +44,35 @@
     return ends_at <= useful_until ? urgency::late : urgency::overdue;
 }
 
-void collect_step(work_unit unit, std::vector<work_unit>& units) {
+/** Adds a ready step if it can be placed now. Returns whether any of its tasks is idle. */
+bool collect_step(work_unit unit, std::vector<work_unit>& units) {
     const step_progress& progress = unit.in->steps[unit.step];
     for (std::uint32_t i = 0; i < progress.tasks.size(); ++i) {
         if (progress.tasks[i].phase == task_phase::idle) {
             unit.tasks.push_back(i);
         }
     }
-    const bool whole = unit.tasks.size() == progress.tasks.size();
-    if (!unit.tasks.empty() && (whole || !unit.spec().gang)) {
+    if (unit.tasks.empty()) {
+        return false;
+    }
+    if (unit.tasks.size() == progress.tasks.size() || !unit.spec().gang) {
         units.push_back(std::move(unit));
     }
+    return true;
 }
 
-void collect_job(job& j, bool guaranteed, time_ms now_ms, std::vector<work_unit>& units) {
+/** Adds the steps of a job that can be placed now. Returns whether any task of it is idle. */
+bool collect_job(job& j, bool guaranteed, time_ms now_ms, std::vector<work_unit>& units) {
+    const time_ms objective = objective_ms(j.spec);
+    bool idle = false;
     for (auto& o : j.occurrences) {
         for (std::uint32_t s = 0; s < o.steps.size(); ++s) {
             step_progress& progress = o.steps[s];
-            if (progress.complete() || !dependencies_complete(j.spec, o, s)) {
+            if (progress.complete()) {
+                continue;
+            }
+            if (!dependencies_complete(j.spec, o, s)) {
+                idle = true;
                 continue;
             }
             if (progress.ready_at_ms == 0) {
@@ -69,20 +81,12 @@
             work_unit unit{&j, &o, s, {}, urgency::in_time, 0, progress.ready_at_ms};
             const time_ms begun_at =
                 j.spec.repeat_count > 0 ? progress.ready_at_ms : j.accepted_at_ms;
-            unit.objective_at_ms = begun_at + objective_ms(j.spec);
+            unit.objective_at_ms = begun_at + objective;
             unit.class_of_service = classify(unit, begun_at, guaranteed, now_ms);
-            collect_step(std::move(unit), units);
+            idle = collect_step(std::move(unit), units) || idle;
         }
     }
-}
-
-bool has_idle_task(const job& j) {
-    const auto idle = [](const task& t) { return t.phase == task_phase::idle; };
-    return std::any_of(j.occurrences.begin(), j.occurrences.end(), [&](const occurrence& o) {
-        return std::any_of(o.steps.begin(), o.steps.end(), [&](const step_progress& s) {
-            return std::any_of(s.tasks.begin(), s.tasks.end(), idle);
-        });
-    });
+    return idle;
 }
 
 /** Returns whether the account owns all that its urgent jobs need together. */
@@ -96,16 +100,15 @@
 
 std::vector<work_unit> collect_units(coordinator_state& state, time_ms now_ms) {
     std::vector<work_unit> units;
-    std::erase_if(state.waiting_jobs, [&](const std::string& id) {
-        const auto found = state.jobs.find(id);
-        if (found == state.jobs.end() || found->second->ended() || state.unreadable.contains(id) ||
-            !has_idle_task(*found->second)) {
-            return true;
-        }
-        job& j = *found->second;
-        collect_job(j, is_guaranteed(state, j), now_ms, units);
-        return false;
-    });
+    for (auto id = state.waiting_jobs.begin(); id != state.waiting_jobs.end();) {
+        const auto found = state.jobs.find(*id);
+        const bool active =
+            found != state.jobs.end() && !found->second->ended() && !state.unreadable.contains(*id);
+        const bool waits =
+            active &&
+            collect_job(*found->second, is_guaranteed(state, *found->second), now_ms, units);
+        id = waits ? std::next(id) : state.waiting_jobs.erase(id);
+    }
     std::sort(units.begin(), units.end(), [](const work_unit& a, const work_unit& b) {
         const auto key = [](const work_unit& u) {
             return std::tie(u.owner->spec.terms.priority, u.class_of_service, u.objective_at_ms,
