One round for what is looked at in running work, one way to set a worker aside

Cause: two rounds with the same interval visited the same workers and looked up the same tasks, one to supervise runs and one to repeat orders; a round kept a flag that its next worker tells already, and a callback for what the visitor can do itself. Three places set quarantined_until_ms by hand, one of them by the later of two times.

Ruled out: another order of effects for a worker, as supervision came before repetition already, and another time aside: each earlier time ends before now plus the longest, so the later of both is what was set.

Change: supervise_runs takes one worker and stands with repeat_orders in one round; set_aside keeps the later time and marks the room.

Scheduler tests pass unchanged.

--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -43,9 +43,8 @@
 
 /** A round over all workers, spread over as many ticks as it takes. */
 struct worker_round {
-    bool open = false;
     time_ms began_at_ms = 0;
-    /** First worker that wasn't visited yet. */
+    /** First worker that wasn't visited yet; empty between rounds. */
     std::string next;
 };
 
@@ -85,10 +84,9 @@
     /** Something changed that may let a task be placed. */
     bool plan_needed = false;
     time_ms planned_at_ms = 0;
-    time_ms inspected_at_ms = 0;
+    time_ms jobs_checked_at_ms = 0;
     worker_round upkeep;
-    worker_round repetition;
-    worker_round supervision;
+    worker_round inspection;
 };
 
 /** Progress of one job as an earlier leader stored it. */
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -3,7 +3,6 @@
 #include "lifecycle.h"
 #include "planner.h"
 #include "rooms.h"
-#include "run_supervision.h"
 #include "scheduler/codec.h"
 #include "worker_links.h"
 
@@ -19,7 +18,7 @@
 constexpr time_ms forget_interval_ms = 2000;
 constexpr std::size_t max_forgotten_at_once = 200;
 /** Interval in which jobs are looked at. */
-constexpr time_ms inspection_interval_ms = 100;
+constexpr time_ms job_check_interval_ms = 100;
 
 void submit(reduction& r, const job_spec& spec) {
     if (r.state.jobs.contains(spec.id)) {
@@ -188,8 +187,8 @@
 }
 
 void advance(reduction& r) {
-    if (r.now.monotonic_ms - r.state.inspected_at_ms >= inspection_interval_ms) {
-        r.state.inspected_at_ms = r.now.monotonic_ms;
+    if (r.now.monotonic_ms - r.state.jobs_checked_at_ms >= job_check_interval_ms) {
+        r.state.jobs_checked_at_ms = r.now.monotonic_ms;
         for (auto next = r.state.recurring_jobs.begin(); next != r.state.recurring_jobs.end();) {
             // Taken before the call, which may drop the job from the set.
             const std::string& id = *next++;
@@ -197,7 +196,6 @@
         }
         forget_ended_jobs(r);
     }
-    supervise_runs(r);
     maintain_workers(r);
     if (r.now.monotonic_ms - r.state.planned_at_ms >= replan_interval_ms) {
         r.state.plan_needed = true;
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -81,8 +81,7 @@
     w->blamed_by.insert(job_id);
     if (w->blamed_by.size() >= blame_limit) {
         w->blamed_by.clear();
-        w->quarantined_until_ms = r.now.monotonic_ms + quarantine_ms;
-        r.state.rooms.mark(worker_id);
+        set_aside(r, *w, quarantine_ms);
         note(r, "worker_quarantined",
              "worker=" + worker_id + " for_ms=" + std::to_string(quarantine_ms));
     }
@@ -164,6 +163,11 @@
     }
 }
 
+void set_aside(reduction& r, worker& w, time_ms for_ms) {
+    w.quarantined_until_ms = std::max(w.quarantined_until_ms, r.now.monotonic_ms + for_ms);
+    r.state.rooms.mark(w.report.life.id);
+}
+
 void assign_task(reduction& r, const task_id& id, const worker_life& where, std::uint32_t run) {
     const task_place place = find_task(r.state, id);
     task& t = *place.item;
--- a/libs/scheduler/src/lifecycle.h
+++ b/libs/scheduler/src/lifecycle.h
@@ -23,6 +23,9 @@
 /** Takes up a job that has not ended: its tasks wait, and its account's demand counts. */
 void track_job(coordinator_state& state, const job& j);
 
+/** Gives a worker no new tasks for some time, or longer if that was decided before. */
+void set_aside(reduction& r, worker& w, time_ms for_ms);
+
 /** Books a task on a worker; the start follows once that is stored. */
 void assign_task(reduction& r, const task_id& id, const worker_life& where, std::uint32_t run);
 
--- a/libs/scheduler/src/run_supervision.cpp
+++ b/libs/scheduler/src/run_supervision.cpp
@@ -1,7 +1,5 @@
 #include "run_supervision.h"
 
-#include "worker_round.h"
-
 #include <algorithm>
 
 namespace fulmarworks::scheduler {
@@ -9,8 +7,6 @@
 namespace {
 
 constexpr int whole_percent = 100;
-/** Time from one look at all running tasks to the next. */
-constexpr time_ms supervision_interval_ms = 100;
 /** Time that a leaving worker often stays longer than it said, and error of the forecast. */
 constexpr time_ms evacuation_margin_ms = 500;
 /** A task whose progress doesn't change for this long stands still, whatever its estimate says. */
@@ -60,8 +56,7 @@
                  " percent=" + std::to_string(place.item->percent) +
                  " still_for_ms=" + std::to_string(now - place.item->progressed_at_ms));
         place.item->failed_on = id;
-        w.quarantined_until_ms = now + stall_quarantine_ms;
-        r.state.rooms.mark(id);
+        set_aside(r, w, stall_quarantine_ms);
         stop_task(r, name, place, "stalled");
     }
 }
@@ -100,14 +95,9 @@
 
 } // namespace
 
-void supervise_runs(reduction& r) {
-    const auto supervise = [&](worker& w) {
-        stop_stalled_tasks(r, w);
-        evacuate_leaving_worker(r, w);
-        return false;
-    };
-    continue_round(r.state, r.state.supervision, r.now.monotonic_ms, supervision_interval_ms,
-                   supervise, [](const std::string&) {});
+void supervise_runs(reduction& r, worker& w) {
+    stop_stalled_tasks(r, w);
+    evacuate_leaving_worker(r, w);
 }
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/run_supervision.h
+++ b/libs/scheduler/src/run_supervision.h
@@ -4,7 +4,7 @@
 
 namespace fulmarworks::scheduler {
 
-/** Moves runs that stand still, or are on workers that leave before they could end. */
-void supervise_runs(reduction& r);
+/** Moves runs of a worker that stand still, or that couldn't end before the worker leaves. */
+void supervise_runs(reduction& r, worker& w);
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_links.cpp
+++ b/libs/scheduler/src/worker_links.cpp
@@ -320,9 +320,7 @@
     case order_failure::expired: release_task(r, answer.task, place, "start_expired"); return;
     case order_failure::no_room:
     case order_failure::rejected:
-        found->second.quarantined_until_ms =
-            std::max(found->second.quarantined_until_ms, r.now.monotonic_ms + refusal_pause_ms);
-        r.state.rooms.mark(answer.worker);
+        set_aside(r, found->second, refusal_pause_ms);
         if (sole_order) {
             release_task(r, answer.task, place, "refused_by_worker");
         } else {
--- a/libs/scheduler/src/worker_round.h
+++ b/libs/scheduler/src/worker_round.h
@@ -2,6 +2,8 @@
 
 #include "scheduler/coordinator.h"
 
+#include <iterator>
+
 namespace fulmarworks::scheduler {
 
 /** Workers that one tick looks after in a round: more than today's deployments have, and few
@@ -12,28 +14,22 @@
  * Goes on with a round over all workers, or begins one if the last began `interval_ms` ago.
  *
  * `visit(worker&)` may change anything but the map of workers; it returns whether the worker is to
- * be dropped. `dropped(id)` is called for each that was.
+ * be dropped.
  */
-template <class Visit, class Dropped>
+template <class Visit>
 void continue_round(coordinator_state& state, worker_round& round, time_ms now_ms,
-                    time_ms interval_ms, const Visit& visit, const Dropped& dropped) {
-    if (!round.open) {
+                    time_ms interval_ms, const Visit& visit) {
+    if (round.next.empty()) {
         if (now_ms - round.began_at_ms < interval_ms) {
             return;
         }
-        round = {true, now_ms, ""};
+        round.began_at_ms = now_ms;
     }
     auto next = state.workers.lower_bound(round.next);
     for (std::size_t i = 0; i < max_workers_per_tick && next != state.workers.end(); ++i) {
-        if (visit(next->second)) {
-            dropped(next->first);
-            next = state.workers.erase(next);
-        } else {
-            ++next;
-        }
+        next = visit(next->second) ? state.workers.erase(next) : std::next(next);
     }
-    round.open = next != state.workers.end();
-    round.next = round.open ? next->first : "";
+    round.next = next != state.workers.end() ? next->first : "";
 }
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_upkeep.cpp
+++ b/libs/scheduler/src/worker_upkeep.cpp
@@ -1,3 +1,4 @@
+#include "run_supervision.h"
 #include "worker_links.h"
 #include "worker_round.h"
 
@@ -28,8 +29,8 @@
 constexpr time_ms unlisted_lease_rest_ms = 1300;
 /** Part of the longest lease that is left out, for the way of the request. */
 constexpr time_ms lease_margin_ms = 100;
-/** Interval in which unanswered orders are looked for. */
-constexpr time_ms repeat_interval_ms = 100;
+/** Interval in which runs that make no progress and unanswered orders are looked for. */
+constexpr time_ms inspection_interval_ms = 100;
 /** Starts sent before the worker's own lists decide. */
 constexpr std::uint32_t max_start_attempts = 3;
 
@@ -134,21 +135,26 @@
 
 void maintain_workers(reduction& r) {
     const time_ms now = r.now.monotonic_ms;
-    const auto drop = [&](const std::string& id) { r.state.rooms.mark(id); };
     const time_ms idle_interval = idle_interval_ms(r.state.workers.size());
     const auto look_after = [&](worker& w) {
         expire_lease(r, w);
         if (poll_due(w, now, idle_interval)) {
             poll(r, w);
         }
-        return !w.listed && w.assigned.empty() && w.strays.empty() && !w.poll_outstanding;
+        const bool gone =
+            !w.listed && w.assigned.empty() && w.strays.empty() && !w.poll_outstanding;
+        if (gone) {
+            r.state.rooms.mark(w.report.life.id);
+        }
+        return gone;
     };
-    const auto repeat = [&](worker& w) {
+    const auto inspect = [&](worker& w) {
+        supervise_runs(r, w);
         repeat_orders(r, w);
         return false;
     };
-    continue_round(r.state, r.state.repetition, now, repeat_interval_ms, repeat, drop);
-    continue_round(r.state, r.state.upkeep, now, 0, look_after, drop);
+    continue_round(r.state, r.state.inspection, now, inspection_interval_ms, inspect);
+    continue_round(r.state, r.state.upkeep, now, 0, look_after);
 }
 
 } // namespace fulmarworks::scheduler
