--- a/libs/scheduler/include/scheduler/resources.h
+++ b/libs/scheduler/include/scheduler/resources.h
@@ -32,6 +32,15 @@
     friend bool operator==(const resources&, const resources&) = default;
 };
 
+/** Beyond any worker, and far from where sums over all tasks of a job overflow. */
+inline constexpr std::int64_t max_resource = 1'000'000'000'000;
+
+/** Returns whether no dimension is negative or beyond `max_resource`. Thread safe. */
+[[nodiscard]] constexpr bool plausible(const resources& r) {
+    constexpr auto within = [](std::int64_t v) { return v >= 0 && v <= max_resource; };
+    return within(r.cpu_millis) && within(r.memory_mb) && within(r.accelerators);
+}
+
 /** Returns whether `need` fits into `room` in every dimension. Thread safe. */
 [[nodiscard]] constexpr bool fits(const resources& need, const resources& room) {
     return need.cpu_millis <= room.cpu_millis && need.memory_mb <= room.memory_mb &&
--- a/libs/scheduler/src/job_spec.cpp
+++ b/libs/scheduler/src/job_spec.cpp
@@ -10,28 +10,20 @@
 /** Tasks of all steps and occurrences together. A task takes some 300 bytes of the leader, so this
  * is 6 MB; the widest jobs of the target have 256 tasks. */
 constexpr std::uint64_t max_task_runs = 20'000;
-/** Beyond any worker, and far from where sums over a job's tasks overflow. */
-constexpr std::int64_t max_resource = 1'000'000'000'000;
 /** Thirty years; sums and products of such times with `max_task_runs` don't overflow. */
 constexpr time_ms max_duration_ms = 1'000'000'000'000;
 /** The year 33658; catches times that were given in another unit. */
 constexpr time_ms max_wall_ms = 1'000'000'000'000'000;
 
-template <class T>
-bool within(T value, T most) {
+bool within(time_ms value, time_ms most) {
     return value >= 0 && value <= most;
 }
 
-bool possible(const resources& r) {
-    return within(r.cpu_millis, max_resource) && within(r.memory_mb, max_resource) &&
-           within(r.accelerators, max_resource);
-}
-
 std::string_view fault_of(const step_spec& step, std::size_t index) {
     if (step.task_count == 0) {
         return "a step has no tasks";
     }
-    if (!possible(step.per_task) || !within(step.estimate_ms, max_duration_ms)) {
+    if (!plausible(step.per_task) || !within(step.estimate_ms, max_duration_ms)) {
         return "a step asks for less than nothing, or for more than there can be";
     }
     const bool in_order = std::all_of(step.depends_on.begin(), step.depends_on.end(),
