--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -33,6 +33,9 @@
     bool close_connection = false;
 };
 
+/** Returns an answer with an empty JSON object as its body. Thread safe. */
+[[nodiscard]] http_response empty_response(int status);
+
 /** Returns the value of a query parameter, decoded, or an empty text. Thread safe. */
 [[nodiscard]] std::string query_value(std::string_view query, std::string_view key);
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -219,6 +219,13 @@
     return std::unique_ptr<http_server>(new http_server(std::move(i)));
 }
 
+http_response empty_response(int status) {
+    http_response response;
+    response.status = status;
+    response.body = "{}";
+    return response;
+}
+
 std::string query_value(std::string_view query, std::string_view key) {
     std::size_t start = 0;
     while (start < query.size()) {
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -4,6 +4,7 @@
 #include "callback_owner.h"
 #include "platform/documents.h"
 #include "scheduler/codec.h"
+#include "timing.h"
 
 #include <algorithm>
 #include <charconv>
@@ -20,9 +21,7 @@
 constexpr time_ms longest_try_ms = 1600;
 /** Time for which a submission that nobody can store is tried; covers a single lost connection. */
 constexpr time_ms refused_try_ms = 500;
-constexpr time_ms append_timeout_ms = 700;
 constexpr time_ms forward_timeout_ms = 700;
-constexpr time_ms retry_pause_ms = 60;
 /** A caller that is turned away returns after about a change of the leader ... */
 constexpr time_ms shortest_come_back_ms = 1000;
 /** ... or later, but within the patience of a person who waits. */
@@ -42,16 +41,9 @@
     return parsed.ec == std::errc() && value > 0 ? value : default_patience_ms;
 }
 
-http_response plain(int status) {
-    http_response response;
-    response.status = status;
-    response.body = "{}";
-    return response;
-}
-
 /** A refusal that says the request has not run. */
 http_response unavailable(time_ms come_back_ms = shortest_come_back_ms) {
-    http_response response = plain(503);
+    http_response response = empty_response(503);
     response.retry_after_ms = come_back_ms;
     response.close_connection = true;
     return response;
@@ -59,7 +51,7 @@
 
 /** The request may or may not have been carried out; the caller may send it again. */
 http_response undecided() {
-    http_response response = plain(504);
+    http_response response = empty_response(504);
     response.close_connection = true;
     return response;
 }
@@ -69,7 +61,7 @@
         return unavailable();
     }
     if (!answer.known) {
-        return plain(410);
+        return empty_response(410);
     }
     http_response response;
     response.body = answer.state.empty() ? "{}" : json({{"state", answer.state}}).dump();
@@ -137,12 +129,12 @@
     void submit(const gateway::submit_job& call, const http_request& request,
                 const gateway::configuration& config, respond_handler respond) {
         if (request.body.size() > config.max_body_bytes) {
-            refuse("body_too_large", call.job, plain(413), respond);
+            refuse("body_too_large", call.job, empty_response(413), respond);
             return;
         }
         auto decoded = platform::decode_submission(request.body);
         if (!decoded) {
-            refuse("malformed_job", call.job, plain(400), respond);
+            refuse("malformed_job", call.job, empty_response(400), respond);
             return;
         }
         scheduler::job_spec& spec = decoded.value();
@@ -169,8 +161,8 @@
         platform::append_request append;
         append.where = platform::topic::submissions;
         append.records = {{open->id, open->record}};
-        append.timeout_ms =
-            std::clamp(open->give_up_at - boottime_now(), shortest_attempt_ms, append_timeout_ms);
+        append.timeout_ms = std::clamp(open->give_up_at - boottime_now(), shortest_attempt_ms,
+                                       submission_timeout_ms);
         context.store.append(append,
                              guarded([open](impl& i, const platform::append_outcome& outcome) {
                                  i.store_done(open, outcome.status);
@@ -193,7 +185,7 @@
                               "request=" + open->id +
                                   " attempts=" + std::to_string(open->attempts) +
                                   " took_ms=" + std::to_string(now - open->began_at));
-            open->respond(plain(200));
+            open->respond(empty_response(200));
             return;
         }
         open->undecided = open->undecided || outcome == platform::store_status::no_answer;
@@ -226,8 +218,9 @@
         call.target = q->target;
         call.timeout_ms = forward_timeout_ms;
         context.http.send(call, guarded([q](impl& i, const http_answer& answer) {
-                              http_response response =
-                                  answer.status == 0 ? unavailable() : plain(answer.status);
+                              http_response response = answer.status == 0
+                                                           ? unavailable()
+                                                           : empty_response(answer.status);
                               response.body = answer.body.empty() ? "{}" : answer.body;
                               i.asked(q, response);
                           }));
@@ -301,8 +294,8 @@
     if (const auto* refused = std::get_if<gateway::refusal>(&kind)) {
         const std::string name(gateway::name_of(*refused));
         const int status = gateway::status_of(*refused);
-        impl_->refuse(name.c_str(), "-", status == 503 ? impl_->come_back() : plain(status),
-                      respond);
+        impl_->refuse(name.c_str(), "-",
+                      status == 503 ? impl_->come_back() : empty_response(status), respond);
     } else if (const auto* submit = std::get_if<gateway::submit_job>(&kind)) {
         impl_->submit(*submit, request, *config, std::move(respond));
     } else if (const auto* query = std::get_if<gateway::query_job>(&kind)) {
@@ -329,7 +322,7 @@
         respond(pending_response(term, *queue));
     } else {
         // An asker repeats a question that was not understood; no answer may be guessed here.
-        respond(plain(400));
+        respond(empty_response(400));
     }
 }
 
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -171,11 +171,6 @@
         options.where = platform::topic::members;
         options.wait_ms = 0;
         options.pause_ms = member_interval_ms;
-        options.on_snapshot = [this](const auto& records) {
-            for (const auto& record : records) {
-                member_read(record);
-            }
-        };
         options.on_record = [this](const auto& record) { member_read(record); };
         members = std::make_unique<topic_follower>(loop, store, std::move(options));
     }
@@ -231,11 +226,6 @@
         follower_options options;
         options.where = platform::topic::operator_documents;
         options.wait_ms = operator_wait_ms;
-        options.on_snapshot = [this](const auto& records) {
-            for (const auto& record : records) {
-                document_read(record);
-            }
-        };
         options.on_record = [this](const auto& record) { document_read(record); };
         options.on_read = [this](bool ok) { store_read(ok); };
         documents = std::make_unique<topic_follower>(loop, store, std::move(options));
--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -2,6 +2,7 @@
 
 #include "callback_owner.h"
 #include "scheduler/codec.h"
+#include "timing.h"
 #include "topic_follower.h"
 
 #include <unordered_map>
@@ -11,7 +12,6 @@
 namespace {
 
 constexpr time_ms submission_wait_ms = 1000;
-constexpr time_ms retry_pause_ms = 60;
 
 } // namespace
 
@@ -30,11 +30,6 @@
         follower_options options;
         options.where = platform::topic::submissions;
         options.wait_ms = submission_wait_ms;
-        options.on_snapshot = [this](const auto& records) {
-            for (const auto& record : records) {
-                read(record);
-            }
-        };
         options.on_record = [this](const auto& record) { read(record); };
         submissions =
             std::make_unique<topic_follower>(context.loop, context.store, std::move(options));
--- a/libs/node/src/lease_keeper.cpp
+++ b/libs/node/src/lease_keeper.cpp
@@ -35,11 +35,6 @@
         follower_options options;
         options.where = platform::topic::leadership;
         options.wait_ms = read_wait_ms;
-        options.on_snapshot = [this](const auto& records) {
-            for (const auto& record : records) {
-                read(record);
-            }
-        };
         options.on_record = [this](const auto& record) { read(record); };
         options.on_read = [this](bool ok) {
             log_read(state, boottime_now(), ok, ok ? follower->end() : 0);
--- a/libs/node/src/peers.cpp
+++ b/libs/node/src/peers.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json.h"
 #include "callback_owner.h"
+#include "timing.h"
 
 #include <algorithm>
 
@@ -13,7 +14,6 @@
 constexpr std::string_view append_path = "/v1/peer/submission/";
 constexpr time_ms view_timeout_ms = 400;
 constexpr time_ms view_interval_ms = 250;
-constexpr time_ms append_timeout_ms = 700;
 /** A peer that failed is asked last for this long. */
 constexpr time_ms failed_peer_pause_ms = 3000;
 
@@ -53,13 +53,6 @@
     }
 }
 
-http_response status_only(int status) {
-    http_response response;
-    response.status = status;
-    response.body = "{}";
-    return response;
-}
-
 int status_of(platform::store_status outcome) {
     switch (outcome) {
     case platform::store_status::ok: return 200;
@@ -142,7 +135,7 @@
         const auto known = static_cast<std::uint64_t>(query_number(request.query, "known", 0));
         const auto view = context.view(known);
         if (!view) {
-            respond(status_only(503));
+            respond(empty_response(503));
             return;
         }
         http_response response;
@@ -153,15 +146,15 @@
     void answer_append(const std::string& id, const http_request& request,
                        const std::function<void(const http_response&)>& respond) const {
         if (context.store.unavailable()) {
-            respond(status_only(status_of(platform::store_status::refused)));
+            respond(empty_response(status_of(platform::store_status::refused)));
             return;
         }
         platform::append_request append;
         append.where = platform::topic::submissions;
         append.records = {{id, request.body}};
-        append.timeout_ms = append_timeout_ms;
+        append.timeout_ms = submission_timeout_ms;
         context.store.append(append, [respond](const platform::append_outcome& outcome) {
-            respond(status_only(status_of(outcome.status)));
+            respond(empty_response(status_of(outcome.status)));
         });
     }
 };
@@ -199,7 +192,7 @@
     call.address = m->address;
     call.target = std::string(append_path) + id;
     call.body = record;
-    call.timeout_ms = append_timeout_ms;
+    call.timeout_ms = submission_timeout_ms;
     impl_->context.counters.count("peer_appends_total", "kind", "submission");
     impl_->context.http.send(call, [self = std::weak_ptr<impl>(impl_), address = m->address,
                                     done = std::move(done)](const http_answer& answer) {
--- a/libs/node/src/progress_writer.cpp
+++ b/libs/node/src/progress_writer.cpp
@@ -1,12 +1,12 @@
 #include "progress_writer.h"
 
 #include "callback_owner.h"
+#include "timing.h"
 
 namespace fulmarworks::node {
 
 namespace {
 
-constexpr time_ms retry_pause_ms = 60;
 constexpr time_ms append_timeout_ms = 1000;
 
 } // namespace
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Pause after a failed read. */
-constexpr time_ms retry_pause_ms = 100;
+constexpr time_ms failed_read_pause_ms = 100;
 
 } // namespace
 
@@ -39,15 +39,15 @@
 
     template <class Handler>
     void newest(const std::string& after, Handler handler) {
-        store.newest(options.where, after,
-                     guarded([handler](impl& i, const platform::newest_outcome& page) {
-                         if (page.status != platform::store_status::ok) {
-                             i.report(false);
-                             i.later(i.loop, retry_pause_ms, [](impl& again) { again.load(); });
-                             return;
-                         }
-                         handler(i, page);
-                     }));
+        store.newest(
+            options.where, after, guarded([handler](impl& i, const platform::newest_outcome& page) {
+                if (page.status != platform::store_status::ok) {
+                    i.report(false);
+                    i.later(i.loop, failed_read_pause_ms, [](impl& again) { again.load(); });
+                    return;
+                }
+                handler(i, page);
+            }));
     }
 
     void load() {
@@ -77,11 +77,23 @@
         page_records.clear();
         if (options.on_snapshot) {
             options.on_snapshot(records);
+        } else {
+            deliver(records);
         }
         report(true);
         read();
     }
 
+    /** Hands over records until the owner ends the follower. */
+    void deliver(const std::vector<platform::logged_record>& records) {
+        for (const auto& record : records) {
+            if (callbacks_ended()) {
+                return;
+            }
+            options.on_record(record);
+        }
+    }
+
     void read() {
         if (callbacks_ended()) {
             return;
@@ -101,17 +113,14 @@
         failing = outcome.status != platform::store_status::ok;
         if (failing) {
             report(false);
-            later(loop, retry_pause_ms, [](impl& i) { i.read(); });
+            later(loop, failed_read_pause_ms, [](impl& i) { i.read(); });
             return;
         }
         next = outcome.next;
         confirmed_at = sent_at;
-        const auto alive = shared_from_this();
-        for (const auto& record : outcome.records) {
-            if (callbacks_ended()) {
-                return;
-            }
-            options.on_record(record);
+        deliver(outcome.records);
+        if (callbacks_ended()) {
+            return;
         }
         report(true);
         if (options.pause_ms > 0) {
--- a/libs/node/src/topic_follower.h
+++ b/libs/node/src/topic_follower.h
@@ -16,7 +16,8 @@
     /** Pause between reads; with a wait of 0 this is the polling interval. */
     time_ms pause_ms = 0;
     /** Called with the newest record of every key: once at the start, and again when the store has
-     * deleted records that were not read yet. Keys that are missing don't exist any more. */
+     * deleted records that were not read yet. Keys that are missing don't exist any more. Without
+     * it, each of these records goes to `on_record`. */
     std::function<void(const std::vector<platform::logged_record>&)> on_snapshot;
     /** Called for each later record, in order. */
     std::function<void(const platform::logged_record&)> on_record;
