Tests and benchmarks build their workers and jobs from one fixture

Cause: the replayed loads, the benchmark's fleet and the coordinator's tests each described the same worker, and the benchmark the same job; the soak's callers and its rule book each listed the final states; three leader tests wrote the same two records; three coordinator tests the same four lines to begin a job. log_line.cpp used std::min without its header.

Ruled out: sharing the soak's encoding of records and base64 with platform/. The stand-in keeps its own, so that an error of the client can't cancel out; it says so now.

Change: coordinator_fixture's make_report and make_job are used by all three, run_job begins a job, is_final stands in the rule book. No check or expected value changed.

--- a/benchmarks/decisions/busy_fleet.cpp
+++ b/benchmarks/decisions/busy_fleet.cpp
@@ -1,5 +1,7 @@
 #include "busy_fleet.h"
 
+#include "coordinator_fixture.h"
+
 #include <algorithm>
 #include <chrono>
 #include <malloc.h>
@@ -26,12 +28,8 @@
 busy_fleet::busy_fleet(int workers) : workers_(workers) {
     const std::size_t before = mallinfo2().uordblks;
     for (int i = 0; i < workers; ++i) {
-        worker_report report;
-        report.life = {"worker-" + std::to_string(i), 1};
-        report.address = "10.0.0.1:1";
-        report.pool = "pool";
-        report.rack = "rack-" + std::to_string(i / workers_per_rack);
-        report.capacity = {128'000, 262'144, 8};
+        const auto report = coordinator_fixture::make_report(
+            "worker-" + std::to_string(i), "rack-" + std::to_string(i / workers_per_rack));
         send(worker_reported{report});
     }
     // One tick polls only a part of a large fleet.
@@ -61,19 +59,14 @@
 
 job_spec busy_fleet::make_job(const std::string& id, int priority, int tasks,
                               std::int64_t accelerators, bool gang) const {
-    job_spec spec;
-    spec.id = id;
+    const std::int64_t memory_mb =
+        accelerators == yielding_accelerators ? yielding_memory_mb : 16'384;
+    job_spec spec = coordinator_fixture::make_job(id, static_cast<std::uint32_t>(tasks),
+                                                  {4'000, memory_mb, accelerators}, priority);
     spec.account = "account-" + std::to_string(priority);
-    spec.queue = "queue";
-    spec.terms = {"pool", priority, 2, 3, 1000};
     spec.accepted_wall_ms = now_.wall_ms;
-    step_spec step;
-    step.task_count = static_cast<std::uint32_t>(tasks);
-    step.per_task = {4'000, accelerators == yielding_accelerators ? yielding_memory_mb : 16'384,
-                     accelerators};
-    step.estimate_ms = estimate_ms;
-    step.gang = gang;
-    spec.steps.push_back(step);
+    spec.steps.front().estimate_ms = estimate_ms;
+    spec.steps.front().gang = gang;
     return spec;
 }
 
--- a/libs/logs/src/log_line.cpp
+++ b/libs/logs/src/log_line.cpp
@@ -1,5 +1,6 @@
 #include "logs/log_line.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace fulmarworks::logs {
--- a/libs/scheduler/tests/coordinator_fixture.h
+++ b/libs/scheduler/tests/coordinator_fixture.h
@@ -87,6 +87,16 @@
         send(start_answered{order.where.id, order.task, order.run, true, {}});
     }
 
+    /** Submits a job and accepts its first start, which it returns if there is one. */
+    std::optional<send_start> run_job(const job_spec& spec) {
+        send(job_submitted{spec});
+        auto order = take<send_start>();
+        if (order) {
+            accept(*order);
+        }
+        return order;
+    }
+
     static job_spec make_job(const std::string& id, std::uint32_t tasks, resources need,
                              int priority = 1) {
         job_spec spec;
--- a/libs/scheduler/tests/replayed_load.cpp
+++ b/libs/scheduler/tests/replayed_load.cpp
@@ -1,5 +1,7 @@
 #include "replayed_load.h"
 
+#include "coordinator_fixture.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,13 +14,8 @@
 constexpr int rack_size = 8;
 
 worker_report report_of(int number) {
-    worker_report report;
-    report.life = {"w" + std::to_string(number), 1};
-    report.address = "10.0.0.1:1";
-    report.pool = "pool";
-    report.rack = "r" + std::to_string(number / rack_size);
-    report.capacity = {128'000, 262'144, 8};
-    return report;
+    return coordinator_fixture::make_report("w" + std::to_string(number),
+                                            "r" + std::to_string(number / rack_size));
 }
 
 } // namespace
--- a/tests/soak/leader_test.cpp
+++ b/tests/soak/leader_test.cpp
@@ -47,6 +47,11 @@
 
     leader_fixture() { REQUIRE(store.listen(address)); }
 
+    void store_completed_job() {
+        store.put("keyed.submissions", job_id, scheduler::encode_job_spec(small_job()));
+        store.put("keyed.progress", job_id, completed_progress());
+    }
+
     void begin_term(const scheduler::settings& limits = {}) {
         begin_term_unready(limits);
         REQUIRE(loop.run_until([this] { return term->ready(); }, limit_ms));
@@ -79,8 +84,7 @@
                        [](const scheduler::job_spec&) {}});
     constexpr time_ms first_read_ms = 200;
     f.loop.run_until([] { return false; }, first_read_ms);
-    f.store.put("keyed.submissions", job_id, scheduler::encode_job_spec(small_job()));
-    f.store.put("keyed.progress", job_id, completed_progress());
+    f.store_completed_job();
     loader.load_progress();
     REQUIRE(f.loop.run_until([&] { return found.has_value(); }, limit_ms));
     REQUIRE(found->jobs.size() == 1);
@@ -90,8 +94,7 @@
 
 TEST_CASE("an ended job is shown for the retention time and then leaves the store") {
     leader_fixture f;
-    f.store.put("keyed.submissions", job_id, scheduler::encode_job_spec(small_job()));
-    f.store.put("keyed.progress", job_id, completed_progress());
+    f.store_completed_job();
     scheduler::settings limits;
     limits.status_retention_ms = 600;
     f.begin_term(limits);
@@ -104,8 +107,7 @@
 // Otherwise a leader that finds the submission alone would run the job again.
 TEST_CASE("the progress of an ended job outlives its submission") {
     leader_fixture f;
-    f.store.put("keyed.submissions", job_id, scheduler::encode_job_spec(small_job()));
-    f.store.put("keyed.progress", job_id, completed_progress());
+    f.store_completed_job();
     scheduler::settings limits;
     limits.status_retention_ms = 100;
     f.begin_term(limits);
--- a/tests/soak/rule_book.cpp
+++ b/tests/soak/rule_book.cpp
@@ -55,6 +55,10 @@
     return name;
 }
 
+bool is_final(std::string_view state) {
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
+
 void rule_book::break_rule(const std::string& rule, const std::string& what) {
     broken_.push_back(rule + ": " + what);
 }
@@ -172,9 +176,7 @@
         if (!view.accepted && !view.undecided && started_jobs_.contains(id)) {
             break_rule("REFUSED", id + " was refused every time and has run");
         }
-        const bool over = view.last_state == "completed" || view.last_state == "failed" ||
-                          view.last_state == "cancelled";
-        if (view.accepted && view.cancelled_at == 0 && !over) {
+        if (view.accepted && view.cancelled_at == 0 && !is_final(view.last_state)) {
             break_rule("LOST", id + " was accepted and is shown as '" + view.last_state + "'");
         }
     }
--- a/tests/soak/rule_book.h
+++ b/tests/soak/rule_book.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fulmarworks::soak {
@@ -38,6 +39,9 @@
 
 [[nodiscard]] task_name parse_task_name(const std::string& text);
 
+/** Returns whether a job that is shown in this state has ended. */
+[[nodiscard]] bool is_final(std::string_view state);
+
 /** What callers were told of a job. */
 struct caller_view {
     job_shape shape;
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -16,10 +16,6 @@
 /** Queues by priority, as the sites of the platform have them. */
 constexpr std::array<const char*, 3> queues = {"/urgent/", "/normal/", "/bulk/"};
 
-bool is_final(const std::string& state) {
-    return state == "completed" || state == "failed" || state == "cancelled";
-}
-
 std::string state_of(const http_answer& answer) {
     const auto parsed = parse_json(answer.body);
     return parsed && parsed.value().is_object() ? parsed.value().value("state", "") : "";
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t remembered_answers = 5;
 constexpr std::uint64_t max_body = 4U << 20U;
 
+// Encoded here and not by platform/, as an error there would cancel out.
+
 std::string encode_base64(std::string_view bytes) {
     static constexpr char digits[] =
         "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
