Find workers by one function

Ruled out: other behaviour; each place does the same for a worker that isn't there.

Change: find_worker stands in lookup.h beside find_task.

--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -60,9 +60,9 @@
             begin_allowed_starts(r, r.state.workers.at(place.item->where.id));
         }
     } else if (const auto* seen = std::get_if<deferred_observation>(&action)) {
-        const auto found = r.state.workers.find(seen->where.id);
-        if (found != r.state.workers.end() && found->second.report.life == seen->where) {
-            found->second.stored_sequence = std::max(found->second.stored_sequence, seen->sequence);
+        worker* w = find_worker(r.state, seen->where.id);
+        if (w != nullptr && w->report.life == seen->where) {
+            w->stored_sequence = std::max(w->stored_sequence, seen->sequence);
         }
     } else if (const auto* answer = std::get_if<deferred_cancel_answer>(&action)) {
         r.out.emplace_back(answer_cancel{answer->request, true});
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -15,13 +15,8 @@
 /** Time for which a worker that fails its tasks gets no new ones. */
 constexpr time_ms quarantine_ms = 6000;
 
-worker* find_worker(reduction& r, const std::string& id) {
-    const auto found = r.state.workers.find(id);
-    return found == r.state.workers.end() ? nullptr : &found->second;
-}
-
 void free_room(reduction& r, const task_id& id, task& t) {
-    if (worker* w = find_worker(r, t.where.id)) {
+    if (worker* w = find_worker(r.state, t.where.id)) {
         w->assigned.erase(id);
         r.state.rooms.mark(t.where.id);
     }
@@ -45,7 +40,7 @@
 
 /** Remembers a run whose worker hasn't listed its end yet. */
 void await_end(reduction& r, const task_id& id, const task_place& place) {
-    worker* w = find_worker(r, place.item->where.id);
+    worker* w = find_worker(r.state, place.item->where.id);
     if (w != nullptr && is_assigned(place.item->phase)) {
         w->strays.push_back({id, place.item->run, booked(*place.spec), r.now.monotonic_ms, true});
         r.state.rooms.mark(w->report.life.id);
@@ -74,7 +69,7 @@
 }
 
 void blame_worker(reduction& r, const std::string& worker_id, const std::string& job_id) {
-    worker* w = find_worker(r, worker_id);
+    worker* w = find_worker(r.state, worker_id);
     if (w == nullptr) {
         return;
     }
@@ -233,9 +228,8 @@
     }
     t.ordered_at_ms = r.now.monotonic_ms;
     ++t.order_attempts;
-    const auto found = r.state.workers.find(t.where.id);
-    if (found != r.state.workers.end()) {
-        r.out.emplace_back(send_stop{t.where, found->second.report.address, id, t.run});
+    if (const worker* w = find_worker(r.state, t.where.id)) {
+        r.out.emplace_back(send_stop{t.where, w->report.address, id, t.run});
     }
 }
 
@@ -256,7 +250,7 @@
              " reason=" + std::string(name_of(end.reason)));
     keep_checkpoint(place, end.checkpoint);
     if (end.reason == end_reason::done && !place.spec->long_running) {
-        if (worker* w = find_worker(r, place.item->where.id)) {
+        if (worker* w = find_worker(r.state, place.item->where.id)) {
             w->blamed_by.clear();
         }
         complete(r, place, end);
--- a/libs/scheduler/src/lookup.cpp
+++ b/libs/scheduler/src/lookup.cpp
@@ -19,6 +19,11 @@
     return {&j, &o, &progress, &j.spec.steps[id.step], &progress.tasks[id.index]};
 }
 
+worker* find_worker(coordinator_state& state, const std::string& id) {
+    const auto found = state.workers.find(id);
+    return found == state.workers.end() ? nullptr : &found->second;
+}
+
 resources booked(const step_spec& spec) {
     resources need = spec.per_task;
     if (spec.fills_idle_cpu) {
--- a/libs/scheduler/src/lookup.h
+++ b/libs/scheduler/src/lookup.h
@@ -17,6 +17,9 @@
 
 [[nodiscard]] task_place find_task(coordinator_state& state, const task_id& id);
 
+/** Returns a worker that is listed or still has something of ours; null for any other. */
+[[nodiscard]] worker* find_worker(coordinator_state& state, const std::string& id);
+
 /** Calls `visit(task_id, task_place)` for every task of the job. */
 template <class Visit>
 void for_each_task(job& j, const Visit& visit) {
--- a/libs/scheduler/src/rooms.cpp
+++ b/libs/scheduler/src/rooms.cpp
@@ -110,13 +110,13 @@
 
 void refresh_rooms(coordinator_state& state, time_ms now_ms) {
     for (const auto& id : state.rooms.take_marked()) {
-        const auto found = state.workers.find(id);
-        if (found == state.workers.end()) {
+        const worker* w = find_worker(state, id);
+        if (w == nullptr) {
             state.rooms.remove(id);
             continue;
         }
-        state.rooms.set(measure_room(state, found->second, now_ms));
-        if (found->second.quarantined_until_ms > now_ms) {
+        state.rooms.set(measure_room(state, *w, now_ms));
+        if (w->quarantined_until_ms > now_ms) {
             state.rooms.mark(id);
         }
     }
--- a/libs/scheduler/src/worker_links.cpp
+++ b/libs/scheduler/src/worker_links.cpp
@@ -249,21 +249,21 @@
 }
 
 void apply_unlisted(reduction& r, const std::string& id) {
-    const auto found = r.state.workers.find(id);
-    if (found != r.state.workers.end() && found->second.listed) {
-        found->second.listed = false;
+    worker* w = find_worker(r.state, id);
+    if (w != nullptr && w->listed) {
+        w->listed = false;
+        w->unlisted_since_ms = r.now.monotonic_ms;
         r.state.rooms.mark(id);
-        found->second.unlisted_since_ms = r.now.monotonic_ms;
         note(r, "worker_unlisted", "worker=" + id);
     }
 }
 
 void apply_poll(reduction& r, const poll_answered& answer) {
-    const auto found = r.state.workers.find(answer.worker);
-    if (found == r.state.workers.end()) {
+    worker* found = find_worker(r.state, answer.worker);
+    if (found == nullptr) {
         return;
     }
-    worker& w = found->second;
+    worker& w = *found;
     w.poll_outstanding = false;
     const time_ms known_life = w.report.life.born_ms;
     if (answer.status.born_ms < known_life) {
@@ -289,12 +289,12 @@
 }
 
 void apply_poll_failure(reduction& r, const poll_failed& failure) {
-    const auto found = r.state.workers.find(failure.worker);
-    if (found == r.state.workers.end()) {
+    worker* found = find_worker(r.state, failure.worker);
+    if (found == nullptr) {
         return;
     }
-    worker& w = found->second;
-    r.state.rooms.mark(found->first);
+    worker& w = *found;
+    r.state.rooms.mark(failure.worker);
     w.poll_outstanding = false;
     if (failure.reason == order_failure::fenced) {
         r.out.emplace_back(leadership_lost{});
@@ -312,8 +312,8 @@
 
 void apply_start_answer(reduction& r, const start_answered& answer) {
     const task_place place = find_task(r.state, answer.task);
-    const auto found = r.state.workers.find(answer.worker);
-    if (found == r.state.workers.end() || !is_current(place, found->second, answer.run) ||
+    worker* w = find_worker(r.state, answer.worker);
+    if (w == nullptr || !is_current(place, *w, answer.run) ||
         place.item->phase != task_phase::ordered) {
         return;
     }
@@ -328,7 +328,7 @@
     case order_failure::expired: release_task(r, answer.task, place, "start_expired"); return;
     case order_failure::no_room:
     case order_failure::rejected:
-        set_aside(r, found->second, refusal_pause_ms);
+        set_aside(r, *w, refusal_pause_ms);
         if (sole_order) {
             release_task(r, answer.task, place, "refused_by_worker");
         } else {
@@ -349,8 +349,8 @@
         return;
     }
     const task_place place = find_task(r.state, answer.task);
-    const auto found = r.state.workers.find(answer.worker);
-    if (found != r.state.workers.end() && is_current(place, found->second, answer.run) &&
+    const worker* w = find_worker(r.state, answer.worker);
+    if (w != nullptr && is_current(place, *w, answer.run) &&
         place.item->phase == task_phase::stopping && place.item->stop_confirmed_at_ms == 0) {
         place.item->stop_confirmed_at_ms = r.now.monotonic_ms;
     }
