Read numbers of a peer's view like those of other documents

Cause: the view of a peer was the last document whose numbers were cast whatever their range; the decoders of the platform, of stored records and of leases use number_of since the fuzz tests.

Ruled out: refusing views that were taken before; a host writes whole numbers in range.

Change: number_of in decode_view; a number out of range makes the view unreadable, as another type did.

Figures: three conversions; node tests pass, 68 assertions. decode_view is internal and not fuzzed itself.

--- a/libs/node/src/peers.cpp
+++ b/libs/node/src/peers.cpp
@@ -36,16 +36,16 @@
     const json& j = parsed.value();
     try {
         store_view v;
-        v.configuration_version = j.at("version").get<std::uint64_t>();
+        v.configuration_version = number_of<std::uint64_t>(j.at("version"));
         v.configuration = j.at("configuration").get<std::string>();
-        v.configuration_age_ms = j.at("configuration_age_ms").get<time_ms>();
+        v.configuration_age_ms = number_of<time_ms>(j.at("configuration_age_ms"));
         if (j.contains("lease")) {
             const auto lease = decode_lease(j.at("lease").get<std::string>());
             if (!lease) {
                 return std::nullopt;
             }
             v.lease = lease.value();
-            v.lease_offset = j.at("lease_offset").get<std::uint64_t>();
+            v.lease_offset = number_of<std::uint64_t>(j.at("lease_offset"));
         }
         return v;
     } catch (const json::exception&) {
