Progress records name each worker once

Change: a table of workers in each record, tasks refer to it; defaults are left out; records of the earlier layout are still read.

--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -2,12 +2,18 @@
 
 #include "base/json.h"
 
+#include <algorithm>
+#include <map>
+
 namespace fulmarworks::scheduler {
 
 namespace {
 
-/** First element of every record. Records of another layout are rejected. */
-constexpr int layout_version = 1;
+/** First element of every record: the layout of a submission, and those of progress that can be
+ * read. Records of another layout are rejected. */
+constexpr int submission_layout = 1;
+constexpr int progress_layout = 2;
+constexpr int earlier_progress_layout = 1;
 
 std::string pack(const json& j) {
     std::string bytes;
@@ -15,9 +21,12 @@
     return bytes;
 }
 
-result<json> unpack(std::string_view data) {
+result<json> unpack(std::string_view data, std::initializer_list<int> layouts) {
     json j = json::from_msgpack(data.begin(), data.end(), true, false);
-    if (!j.is_array() || j.empty() || j[0] != layout_version) {
+    const bool known = j.is_array() && !j.empty() &&
+                       std::any_of(layouts.begin(), layouts.end(),
+                                   [&](int layout) { return j[0] == layout; });
+    if (!known) {
         return error{error_kind::malformed_data, "stored record has an unknown layout version",
                      "upgrade every instance to a release that supports this layout"};
     }
@@ -69,23 +78,83 @@
     }
 }
 
-json encode_task(const task& t) {
-    if (t.run == 0 && t.phase == task_phase::idle) {
-        return 0;
+/** Index of a task without a worker. */
+constexpr int no_worker = -1;
+
+/**
+ * The workers that a progress record names. Tasks refer to them by index, because many tasks of a
+ * job run on the same worker and the record is written at each change.
+ */
+class worker_table {
+public:
+    /** Returns the index of a worker, which is added if it is new; `no_worker` for an empty id. */
+    int index_of(const worker_incarnation& where) {
+        if (where.id.empty()) {
+            return no_worker;
+        }
+        const auto [entry, added] = indices_.try_emplace(where, static_cast<int>(rows_.size()));
+        if (added) {
+            rows_.push_back(json::array({where.id, where.started_wall_ms}));
+        }
+        return entry->second;
+    }
+
+    [[nodiscard]] json take_rows() { return std::move(rows_); }
+
+private:
+    std::map<worker_incarnation, int> indices_;
+    json rows_ = json::array();
+};
+
+worker_incarnation decode_worker(const json& rows, const json& index) {
+    worker_incarnation where;
+    const auto i = integer_from_json<int>(index);
+    if (i != no_worker) {
+        read(rows.at(static_cast<std::size_t>(i)).at(0), where.id);
+        read(rows.at(static_cast<std::size_t>(i)).at(1), where.started_wall_ms);
     }
+    return where;
+}
+
+/** Encodes a task as 0 (never placed), 1 (complete) or an array whose last three elements are
+ * omitted if they have their defaults. */
+json encode_task(const task& t, worker_table& workers) {
     const stored_phase phase = stored_phase_of(t);
     if (phase == stored_phase::complete) {
         return 1;
     }
-    json j = json::array({static_cast<int>(phase), t.run, t.failures, t.checkpoint, t.failed_on});
-    if (phase == stored_phase::assigned) {
-        j.push_back(t.where.id);
-        j.push_back(t.where.started_wall_ms);
+    if (t.run == 0 && phase == stored_phase::idle) {
+        return 0;
+    }
+    const int where = phase == stored_phase::assigned ? workers.index_of(t.where) : no_worker;
+    json j = json::array({t.run, where});
+    if (t.failures > 0 || !t.checkpoint.empty() || !t.failed_on.empty()) {
+        j.push_back(t.failures);
+        j.push_back(t.checkpoint);
+        j.push_back(workers.index_of({t.failed_on, 0}));
     }
     return j;
 }
 
-task decode_task(const json& j) {
+task decode_task(const json& j, const json& workers) {
+    task t;
+    if (j.is_number()) {
+        t.phase = j == 1 ? task_phase::complete : task_phase::idle;
+        return t;
+    }
+    read(j.at(0), t.run);
+    t.where = decode_worker(workers, j.at(1));
+    t.phase = t.where.id.empty() ? task_phase::idle : task_phase::unverified;
+    if (j.size() > 2) {
+        read(j.at(2), t.failures);
+        read(j.at(3), t.checkpoint);
+        t.failed_on = decode_worker(workers, j.at(4)).id;
+    }
+    return t;
+}
+
+/** Decodes a task of layout 1, in which each task names its workers. */
+task decode_task_of_layout_1(const json& j) {
     task t;
     if (j.is_number()) {
         t.phase = j == 1 ? task_phase::complete : task_phase::idle;
@@ -104,7 +173,7 @@
     return t;
 }
 
-json encode_occurrence(const occurrence& o) {
+json encode_occurrence(const occurrence& o, worker_table& workers) {
     json steps = json::array();
     for (const auto& s : o.steps) {
         if (s.complete()) {
@@ -113,14 +182,15 @@
         }
         json tasks = json::array();
         for (const auto& t : s.tasks) {
-            tasks.push_back(encode_task(t));
+            tasks.push_back(encode_task(t, workers));
         }
         steps.push_back(json::array({s.gang_failures, std::move(tasks)}));
     }
     return steps;
 }
 
-void decode_occurrence(const json& j, occurrence& o) {
+template <class DecodeTask>
+void decode_occurrence(const json& j, occurrence& o, const DecodeTask& decode) {
     for (std::size_t i = 0; i < o.steps.size(); ++i) {
         step_progress& s = o.steps[i];
         const json& stored = j.at(i);
@@ -131,7 +201,7 @@
             if (stored.is_number()) {
                 s.tasks[k].phase = task_phase::complete;
             } else {
-                s.tasks[k] = decode_task(stored.at(1).at(k));
+                s.tasks[k] = decode(stored.at(1).at(k));
             }
             s.complete_count += s.tasks[k].phase == task_phase::complete ? 1 : 0;
         }
@@ -158,7 +228,7 @@
         steps.push_back(encode_step(s));
     }
     return pack(
-        json::array({layout_version, spec.account, spec.queue, spec.policy.pool, spec.payload,
+        json::array({submission_layout, spec.account, spec.queue, spec.policy.pool, spec.payload,
                      spec.policy.priority, spec.policy.max_attempts, spec.policy.slack_factor,
                      spec.policy.latency_objective_ms, spec.accepted_wall_ms, std::move(steps),
                      spec.repeat_count, spec.first_start_wall_ms, spec.repeat_interval_ms,
@@ -166,7 +236,7 @@
 }
 
 result<job_spec> decode_job_spec(std::string_view data) {
-    const auto unpacked = unpack(data);
+    const auto unpacked = unpack(data, {submission_layout});
     if (!unpacked) {
         return unpacked.error();
     }
@@ -206,15 +276,16 @@
 
 std::string encode_progress(const job& j) {
     json occurrences = json::array();
+    worker_table workers;
     for (const auto& o : j.occurrences) {
-        occurrences.push_back(o.complete() ? json(1) : encode_occurrence(o));
+        occurrences.push_back(o.complete() ? json(1) : encode_occurrence(o, workers));
     }
-    return pack(json::array(
-        {layout_version, j.cancel_requested, j.failed, j.started, std::move(occurrences)}));
+    return pack(json::array({progress_layout, j.cancel_requested, j.failed, j.started,
+                             std::move(occurrences), workers.take_rows()}));
 }
 
 result<void> decode_progress(std::string_view data, job& j) {
-    const auto unpacked = unpack(data);
+    const auto unpacked = unpack(data, {progress_layout, earlier_progress_layout});
     if (!unpacked) {
         return unpacked.error();
     }
@@ -223,6 +294,12 @@
         read(stored.at(1), j.cancel_requested);
         read(stored.at(2), j.failed);
         read(stored.at(3), j.started);
+        const bool earlier_layout = stored.at(0) == earlier_progress_layout;
+        const json no_workers = json::array();
+        const json& workers = earlier_layout ? no_workers : stored.at(5);
+        const auto decode = [&](const json& t) {
+            return earlier_layout ? decode_task_of_layout_1(t) : decode_task(t, workers);
+        };
         for (const json& o : stored.at(4)) {
             occurrence restored =
                 make_occurrence(j.spec, static_cast<std::uint32_t>(j.occurrences.size()));
@@ -234,7 +311,7 @@
                     }
                 }
             } else {
-                decode_occurrence(o, restored);
+                decode_occurrence(o, restored, decode);
             }
             j.occurrences.push_back(std::move(restored));
         }
