Keep capacity free for the urgent jobs of the next moment, in whole racks

Of 144 urgent gangs half were placed only after 0.53 s and a quarter after 1.5 s, because less urgent work took all that became free and each gang had to stop runs in a rack: 2,503 stops by preemption, 592 of runs that had not even started. Wasted work is the largest price on all sites. Ruled out: handing in (21 ms), the way to the leader (8 ms), stored progress, starts. Change: urgent_arrivals measures what urgent jobs ask for; urgent_headroom keeps what arrives while capacity is being freed, one mean job at least and 15% of the fleet at most, in the racks with the most free accelerators. Tasks that are not urgent are placed there only if their data is there.

--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -4,6 +4,7 @@
 #include "scheduler/effect.h"
 #include "scheduler/event.h"
 #include "scheduler/settings.h"
+#include "scheduler/urgent_arrivals.h"
 
 #include <functional>
 #include <map>
@@ -72,6 +73,7 @@
      * step.
      */
     std::map<std::string, std::int64_t> urgent_demand;
+    urgent_arrivals recent_urgent_jobs;
 
     /**
      * Jobs whose stored progress can't be decoded. They are reported as running and never started.
--- a/libs/scheduler/src/capacity.cpp
+++ b/libs/scheduler/src/capacity.cpp
@@ -132,6 +132,11 @@
     if (!capacity.accepts_tasks || capacity.host->report.pool != request.owner->spec.policy.pool) {
         return false;
     }
+    const std::string& rack = capacity.host->report.rack;
+    if (request.avoided_racks != nullptr && rack != request.spec->data_rack &&
+        request.avoided_racks->contains(rack)) {
+        return false;
+    }
     const std::string& label = request.spec->required_label;
     const auto& labels = capacity.host->report.labels;
     if (!label.empty() && std::find(labels.begin(), labels.end(), label) == labels.end()) {
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -160,6 +160,7 @@
     state.waiting_jobs.insert(j.spec.id);
     state.recurring_jobs.insert(j.spec.id);
     if (j.spec.policy.priority == 0) {
+        state.recent_urgent_jobs.add(j.accepted_at_ms, max_step_accelerators(j.spec));
         state.urgent_demand[j.spec.account] += max_step_accelerators(j.spec);
     }
 }
--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -3,6 +3,7 @@
 #include "capacity.h"
 #include "lookup.h"
 #include "task_groups.h"
+#include "urgent_headroom.h"
 #include "victim_selection.h"
 
 #include <algorithm>
@@ -42,6 +43,8 @@
     /** Runs that may be stopped for urgent groups. */
     victim_table victims;
     bool mostly_idle = false;
+    /** Racks in which only urgent tasks are placed. */
+    std::set<std::string_view> headroom_racks;
     /**
      * Pool and resources of tasks that fit on no worker; free capacity only shrinks during a
      * plan.
@@ -57,8 +60,10 @@
            mostly_idle_share * static_cast<double>(capacities.all_accelerators());
 }
 
-task_group_request make_request(const task_group& group) {
-    task_group_request request{group.owner, &group.spec(), {}, {}};
+task_group_request make_request(const planning_context& p, const task_group& group) {
+    const bool urgent = group.owner->spec.policy.priority == 0;
+    task_group_request request{
+        group.owner, &group.spec(), {}, {}, urgent ? nullptr : &p.headroom_racks};
     for (const auto& t : group.parent->steps[group.step].tasks) {
         if (limits_tasks_per_worker(request) && is_assigned(t.phase)) {
             ++request.tasks_by_worker[t.where.id];
@@ -266,7 +271,7 @@
 }
 
 void plan_gang(planning_context& p, const task_group& group) {
-    task_group_request request = make_request(group);
+    task_group_request request = make_request(p, group);
     bool waiting = false;
     if (!group.parent->steps[group.step].reserved_on.empty()) {
         if (const auto chosen = claim_reservation(p, group, request, waiting)) {
@@ -337,7 +342,7 @@
     if (infeasible && !urgent) {
         return;
     }
-    task_group_request request = make_request(group);
+    task_group_request request = make_request(p, group);
     if (!infeasible) {
         place_tasks(p, group, request);
     }
@@ -358,7 +363,11 @@
 plan make_plan(coordinator_state& state, time_ms now_ms) {
     constexpr int urgent_priority = 0;
     planning_context p{
-        state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.capacities), {}, {}};
+        state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.capacities), {}, {},
+        {}};
+    p.headroom_racks = choose_headroom_racks(
+        state.capacities, headroom_accelerators(state.recent_urgent_jobs, state.limits,
+                                                state.capacities.all_accelerators(), now_ms));
     auto groups = collect_task_groups(state, now_ms);
     // Groups with a reservation are planned first, so that no other group takes their capacity.
     std::stable_partition(groups.begin(), groups.end(), [](const task_group& g) {
