A draining worker whose registry entry is deleted before three heartbeats were missed has left

Change: the registry deletes an entry when its worker has left or after three intervals of silence. The follower knows a time after which the last entry was written; a deletion within less than three intervals of it, after the announced end, of a draining worker that doesn't answer polls either, can only mean that it has left. Missing and unreadable entries, and deletions later than that, prove nothing, as before. Tests: each of these inputs, by the combinations.

--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -128,18 +128,20 @@
             registry_records.push_back(record);
             return;
         }
+        const time_ms written_after =
+            registry_follower ? registry_follower->written_after_ms() : 0;
         if (record.value.empty()) {
-            handle(scheduler::worker_unlisted{record.key});
+            handle(scheduler::worker_unlisted{record.key, true});
             return;
         }
         auto report = platform::decode_worker_report(record.key, record.value);
         if (!report) {
             context.log.write("worker_entry_unreadable", "worker=" + record.key + " error=\"" +
                                                              describe(report.error()) + "\"");
-            handle(scheduler::worker_unlisted{record.key});
+            handle(scheduler::worker_unlisted{record.key, false});
             return;
         }
-        handle(scheduler::worker_reported{std::move(report.value())});
+        handle(scheduler::worker_reported{std::move(report.value()), written_after});
     }
 
     void replace_registry(const std::vector<platform::logged_record>& records) {
@@ -154,7 +156,7 @@
             }
         }
         for (const auto& id : missing) {
-            handle(scheduler::worker_unlisted{id});
+            handle(scheduler::worker_unlisted{id, false});
         }
         for (const auto& record : records) {
             registry_read(record);
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -2,6 +2,8 @@
 
 #include "callback_owner.h"
 
+#include <utility>
+
 namespace fulmarworks::node {
 
 namespace {
@@ -27,6 +29,7 @@
      */
     std::uint64_t first_page_end = 0;
     time_ms confirmed_at = 0;
+    time_ms written_after = 0;
     std::vector<platform::logged_record> snapshot_records;
 
     impl(event_loop& l, platform::store_client& s, follower_options o)
@@ -75,6 +78,7 @@
         loaded = true;
         next_offset = first_page_end;
         confirmed_at = started_at;
+        written_after = 0;
         const auto records = std::move(snapshot_records);
         snapshot_records.clear();
         if (options.on_snapshot) {
@@ -119,7 +123,8 @@
             return;
         }
         next_offset = outcome.next_offset;
-        confirmed_at = sent_at;
+        // The previous read had returned all that was written when it was sent.
+        written_after = std::exchange(confirmed_at, sent_at);
         deliver(outcome.records);
         if (callbacks_disabled()) {
             return;
@@ -151,6 +156,10 @@
     return impl_->confirmed_at;
 }
 
+time_ms topic_follower::written_after_ms() const {
+    return impl_->written_after;
+}
+
 std::uint64_t topic_follower::end() const {
     return impl_->next_offset;
 }
--- a/libs/node/src/topic_follower.h
+++ b/libs/node/src/topic_follower.h
@@ -44,6 +44,10 @@
      * first snapshot. */
     [[nodiscard]] time_ms confirmed_at_ms() const;
 
+    /** Returns a time (boottime) after which the records that are being delivered were written; 0
+     * if it is unknown, as for a snapshot. For use in `on_record`. */
+    [[nodiscard]] time_ms written_after_ms() const;
+
     /** Returns the offset after the last record that was read. */
     [[nodiscard]] std::uint64_t end() const;
 
--- a/libs/scheduler/include/scheduler/event.h
+++ b/libs/scheduler/include/scheduler/event.h
@@ -20,11 +20,15 @@
 /** A worker's registry entry appeared or changed. */
 struct worker_reported {
     worker_report report;
+    /** Monotonic time after which the entry was written; 0 if unknown. */
+    time_ms written_after_ms = 0;
 };
 
-/** A worker's registry entry was removed or can't be read. */
+/** A worker has no readable registry entry any more. */
 struct worker_unlisted {
     std::string id;
+    /** Whether the deletion of the entry was read; otherwise it is missing or can't be decoded. */
+    bool deleted = false;
 };
 
 struct guarantees_changed {
--- a/libs/scheduler/include/scheduler/settings.h
+++ b/libs/scheduler/include/scheduler/settings.h
@@ -8,6 +8,9 @@
 struct settings {
     /** Maximum duration of a lease that a worker accepts. */
     time_ms max_lease_ms = 6000;
+    /** Interval in which workers write their registry entries. The registry deletes an entry after
+     * three intervals of silence, or when the worker has left. */
+    time_ms heartbeat_ms = 1500;
     /** Maximum time that a worker takes to stop a run. */
     time_ms stop_timeout_ms = 400;
     /** Time within which guaranteed urgent work must have started. */
--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -70,6 +70,11 @@
     worker_report report;
     /** Whether the worker has a readable registry entry. */
     bool listed = false;
+    /** Monotonic time after which the newest registry entry was written; 0 if unknown. */
+    time_ms reported_after_ms = 0;
+    /** Whether a draining worker has left: its registry entry was deleted too early for a deletion
+     * because of silence. All its runs have ended. */
+    bool has_left = false;
     /** Earliest monotonic time at which a draining worker may leave. */
     time_ms leaves_at_ms = 0;
     /** Whether the worker has answered under the current fencing token. */
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -105,22 +105,24 @@
 }
 
 /**
- * Releases the assignments of an unreachable worker once its lease must have expired. Nothing else
- * shows that its runs have ended: a worker may be missing from the registry and still work, because
- * only its connection to the store is cut.
+ * Releases the assignments of an unreachable worker once it has left or its lease must have expired.
+ * That it is missing from the registry doesn't show that its runs have ended: it may still work,
+ * because only its connection to the store is cut.
  */
 void release_after_lease_expiry(reduce_context& ctx, worker& w) {
     const bool reachable = w.verified && w.failed_polls == 0;
-    const bool expired = ctx.now.monotonic_ms >= w.lease_expiry_bound_ms;
+    const bool left = w.has_left && w.failed_polls > 0;
+    const bool expired = left || ctx.now.monotonic_ms >= w.lease_expiry_bound_ms;
     if (reachable || w.assigned.empty() || !expired) {
         return;
     }
     log_decision(ctx, "worker_lost",
                  "worker=" + w.report.incarnation.id +
-                     " failed_polls=" + std::to_string(w.failed_polls));
+                     " failed_polls=" + std::to_string(w.failed_polls) +
+                     " reason=" + (left ? "left" : "lease_expired"));
     w.verified = false;
     ctx.state.capacities.mark_stale(w.report.incarnation.id);
-    release_all(ctx, w, "lease_expired");
+    release_all(ctx, w, left ? "worker_left" : "lease_expired");
 }
 
 } // namespace
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -237,7 +237,8 @@
     ctx.state.capacities.mark_stale(w.report.incarnation.id);
 }
 
-void apply_report(reduce_context& ctx, const worker_report& report) {
+void apply_report(reduce_context& ctx, const worker_reported& reported) {
+    const worker_report& report = reported.report;
     worker& w = ctx.state.workers[report.incarnation.id];
     const bool was_draining = w.report.draining && w.listed;
     // Reports repeat continuously, and most of them don't change the capacity.
@@ -247,6 +248,8 @@
     }
     const time_ms known_start_ms = w.report.incarnation.started_wall_ms;
     w.report = report;
+    w.reported_after_ms = reported.written_after_ms;
+    w.has_left = false;
     w.leaves_at_ms = ctx.now.monotonic_ms + report.remaining_ms;
     w.report.incarnation.started_wall_ms =
         std::max(known_start_ms, report.incarnation.started_wall_ms);
@@ -269,10 +272,29 @@
     w.listed = true;
 }
 
-void apply_unlisted(reduce_context& ctx, const std::string& id) {
+namespace {
+
+/** Intervals of silence after which the registry deletes an entry. */
+constexpr time_ms silent_intervals_before_deletion = 3;
+
+/**
+ * Returns whether a draining worker whose entry was just deleted has left. The only other reason for
+ * a deletion is silence for three heartbeat intervals, which can't have passed since the last entry.
+ */
+bool left_before_silence(const worker& w, const settings& limits, time_ms now_ms) {
+    return w.report.draining && w.reported_after_ms != 0 && now_ms >= w.leaves_at_ms &&
+           now_ms - w.reported_after_ms < silent_intervals_before_deletion * limits.heartbeat_ms;
+}
+
+} // namespace
+
+void apply_unlisted(reduce_context& ctx, const worker_unlisted& unlisted) {
+    const std::string& id = unlisted.id;
     worker* w = find_worker(ctx.state, id);
     if (w != nullptr && w->listed) {
         w->listed = false;
+        w->has_left = unlisted.deleted &&
+                      left_before_silence(*w, ctx.state.limits, ctx.now.monotonic_ms);
         ctx.state.capacities.mark_stale(id);
         log_decision(ctx, "worker_unlisted", "worker=" + id);
     }
--- a/libs/scheduler/src/worker_sync.h
+++ b/libs/scheduler/src/worker_sync.h
@@ -11,10 +11,10 @@
 void release_all(reduce_context& ctx, worker& w, std::string_view reason);
 
 /** Applies a worker's registry entry. */
-void apply_report(reduce_context& ctx, const worker_report& report);
+void apply_report(reduce_context& ctx, const worker_reported& reported);
 
 /** Applies that a worker has no readable registry entry. */
-void apply_unlisted(reduce_context& ctx, const std::string& id);
+void apply_unlisted(reduce_context& ctx, const worker_unlisted& unlisted);
 
 /** Applies a poll answer: reconciles the worker's lists of runs with the assignments. */
 void apply_poll(reduce_context& ctx, const poll_answered& answer);
--- a/libs/scheduler/tests/coordinator_test.cpp
+++ b/libs/scheduler/tests/coordinator_test.cpp
@@ -143,6 +143,48 @@
     }
 }
 
+TEST_CASE("tasks of a draining worker are reassigned at once only if its entry was deleted before "
+          "three heartbeats were missed") {
+    static constexpr time_ms three_heartbeats_ms = 4500;
+    enum class removal { deleted, unreadable };
+    const auto silent_ms = GENERATE(time_ms{300}, three_heartbeats_ms);
+    const bool time_known = GENERATE(true, false);
+    const bool draining = GENERATE(true, false);
+    const auto how = GENERATE(removal::deleted, removal::unreadable);
+    CAPTURE(silent_ms, time_known, draining, static_cast<int>(how));
+    coordinator_fixture f;
+    run_one_task(f);
+    f.add_worker("w2");
+    auto report = f.make_report("w1");
+    report.draining = draining;
+    f.send(worker_reported{report, time_known ? f.now.monotonic_ms : 0});
+    f.state.workers.at("w1").lease_expiry_bound_ms = f.now.monotonic_ms + 60'000;
+    f.now.monotonic_ms += silent_ms;
+    f.send(worker_unlisted{"w1", how == removal::deleted});
+    f.send(tick{});
+    CHECK(f.first_task("a").where.id == "w1"); // its poll has not failed
+    f.send(poll_failed{"w1", order_failure::no_answer});
+    f.advance(50);
+    const bool left = draining && time_known && how == removal::deleted &&
+                      silent_ms < three_heartbeats_ms;
+    CHECK(f.first_task("a").where.id == (left ? "w2" : "w1"));
+}
+
+TEST_CASE("a draining worker whose entry is deleted before its announced end is not taken for gone") {
+    coordinator_fixture f;
+    run_one_task(f);
+    f.add_worker("w2");
+    auto report = f.make_report("w1");
+    report.draining = true;
+    report.remaining_ms = 3000;
+    f.send(worker_reported{report, f.now.monotonic_ms});
+    f.now.monotonic_ms += 1000;
+    f.send(worker_unlisted{"w1", true});
+    f.send(poll_failed{"w1", order_failure::no_answer});
+    f.advance(50);
+    CHECK(f.first_task("a").where.id == "w1");
+}
+
 TEST_CASE("a new leader polls the worker of an assigned task before it starts the task again") {
     coordinator_fixture f;
     run_one_task(f);
