Limit the pages read at once by the link; start nothing on a worker that drains

With ten topic partitions read at once, their windows of 64 KB filled a link of 2 Mbit/s for 2.5 s, renewals of the lease waited behind them, and another host took the lease before the state was read: epoch 190 to 199 in 20 s. Also: a task that was placed before its worker began to drain, and whose placement was stored later, was started nevertheless, and an unanswered start was repeated there. Both are replayed by tests.

--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -38,6 +38,7 @@
             options.log_topic = platform::topic::submissions;
             options.partition = p;
             options.wait_ms = submission_wait_ms;
+            options.limiter = context.limiter;
             options.on_record = [this](const auto& record) { record_read(record); };
             submission_followers.push_back(
                 std::make_unique<topic_follower>(context.loop, context.store, std::move(options)));
@@ -73,8 +74,20 @@
     }
 
     void load_page(const std::string& after) {
+        context.limiter->run([limiter = context.limiter, weak_self = weak_from_this(), after] {
+            const auto self = weak_self.lock();
+            if (self && !self->callbacks_disabled()) {
+                self->send_page_read(after);
+            } else {
+                limiter->finished();
+            }
+        });
+    }
+
+    void send_page_read(const std::string& after) {
         context.store.read_newest(platform::topic::progress, 0, after, timeout.ms(),
                                   guarded([after](impl& i, const platform::newest_outcome& page) {
+                                      i.context.limiter->finished();
                                       i.page_loaded(page, after);
                                   }));
     }
--- a/libs/node/src/job_loader.h
+++ b/libs/node/src/job_loader.h
@@ -3,6 +3,7 @@
 #include "http/event_loop.h"
 #include "node/decision_log.h"
 #include "platform/store_client.h"
+#include "read_limiter.h"
 #include "scheduler/coordinator.h"
 
 #include <functional>
@@ -24,6 +25,7 @@
     event_loop& loop;
     platform::store_client& store;
     decision_log& log;
+    std::shared_ptr<read_limiter> limiter;
     /** Called once, when all jobs are loaded. */
     std::function<void(loaded_jobs)> on_loaded;
     /** Called for each submission that is read after `on_loaded`; may be called more than once for
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -58,10 +58,13 @@
     std::uint64_t next_request = 1;
     std::unordered_map<std::uint64_t, std::function<void(const job_answer&)>> pending_cancels;
 
+    std::shared_ptr<read_limiter> page_reads;
     std::unique_ptr<job_loader> loader;
     std::unique_ptr<topic_follower> registry_follower;
 
-    explicit impl(const leader_context& c) : context(c), workers(c.http) {}
+    explicit impl(const leader_context& c)
+        : context(c), workers(c.http),
+          page_reads(std::make_shared<read_limiter>(max_page_reads(c.link_mbps))) {}
 
     void start() {
         started_at = boottime_now();
@@ -90,7 +93,7 @@
 
     void load_jobs() {
         loader = std::make_unique<job_loader>(job_loader_context{
-            context.loop, context.store, context.log,
+            context.loop, context.store, context.log, page_reads,
             [this](loaded_jobs found) {
                 loaded = std::move(found);
                 try_recover();
@@ -111,6 +114,7 @@
         options.log_topic = platform::topic::worker_registry;
         options.wait_ms = 0;
         options.pause_ms = registry_interval_ms;
+        options.limiter = page_reads;
         options.on_snapshot = [this](const auto& records) {
             if (!state) {
                 registry_records = records;
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -45,8 +45,28 @@
 
     template <class Handler>
     void fetch_page(const std::string& after, Handler handler) {
+        if (!options.limiter) {
+            send_page_read(after, handler);
+            return;
+        }
+        options.limiter->run([limiter = options.limiter, weak_self = weak_from_this(), after,
+                              handler] {
+            const auto self = weak_self.lock();
+            if (self && !self->callbacks_disabled()) {
+                self->send_page_read(after, handler);
+            } else {
+                limiter->finished();
+            }
+        });
+    }
+
+    template <class Handler>
+    void send_page_read(const std::string& after, Handler handler) {
         store.read_newest(options.log_topic, options.partition, after, timeout.ms(),
                           guarded([handler, after](impl& i, const platform::newest_outcome& page) {
+                              if (i.options.limiter) {
+                                  i.options.limiter->finished();
+                              }
                               if (page.status != platform::store_status::ok) {
                                   i.timeout.failed();
                                   i.notify_read(false);
--- a/libs/node/src/topic_follower.h
+++ b/libs/node/src/topic_follower.h
@@ -2,6 +2,7 @@
 
 #include "http/event_loop.h"
 #include "platform/store_client.h"
+#include "read_limiter.h"
 
 #include <functional>
 #include <memory>
@@ -16,6 +17,8 @@
     time_ms wait_ms = 700;
     /** Delay between reads; the polling interval if `wait_ms` is 0. */
     time_ms pause_ms = 0;
+    /** Limits the pages of the snapshot that are read at once; null for no limit. */
+    std::shared_ptr<read_limiter> limiter;
     /** Called with the newest record of every key: at the start, and again if the store has deleted
      * records that were not read yet. Keys that are missing from it no longer exist. If not set,
      * `on_record` is called with each of these records. */
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -204,7 +204,26 @@
                                     t.checkpoint, deadline});
 }
 
+namespace {
+
+/** Releases the tasks that were placed on a worker before it began to drain and have not started. */
+void release_placed_tasks(reduce_context& ctx, worker& w) {
+    const auto assigned = w.assigned;
+    for (const auto& id : assigned) {
+        const task_ref ref = find_task(ctx.state, id);
+        if (ref && ref.item->phase == task_phase::placed) {
+            release_task(ctx, id, ref, "worker_drains");
+        }
+    }
+}
+
+} // namespace
+
 void send_allowed_starts(reduce_context& ctx, worker& w) {
+    if (w.report.draining) {
+        release_placed_tasks(ctx, w);
+        return;
+    }
     const bool capacity_in_use = std::any_of(w.orphaned_runs.begin(), w.orphaned_runs.end(),
                                              [](const auto& orphan) { return orphan.ending; });
     if (capacity_in_use) {
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -98,7 +98,8 @@
         const task_ref ref = find_task(ctx.state, id);
         if (ref.item->phase == task_phase::stopping) {
             stop_task(ctx, id, ref, "repeat");
-        } else if (w.failed_polls == 0 && ref.item->order_attempts < max_start_attempts) {
+        } else if (w.failed_polls == 0 && !w.report.draining &&
+                   ref.item->order_attempts < max_start_attempts) {
             order_start(ctx, id, ref);
         }
     }
--- a/libs/scheduler/tests/coordinator_test.cpp
+++ b/libs/scheduler/tests/coordinator_test.cpp
@@ -121,6 +121,38 @@
     }
 }
 
+// While the store answers slowly, a worker may begin to drain between a placement and its start.
+TEST_CASE("a placed task doesn't start on a worker that has begun to drain") {
+    coordinator_fixture f;
+    f.add_worker("w1");
+    f.confirm_stores = false;
+    f.send(job_submitted{f.make_job("a", 2, one_accelerator)});
+    REQUIRE(f.take<store_records>());
+    auto report = f.make_report("w1");
+    report.draining = true;
+    f.send(worker_reported{report});
+    f.confirm_stores = true;
+    f.send(records_stored{});
+    CHECK_FALSE(f.take<send_start>());
+    f.add_worker("w2");
+    const auto starts = f.take_all<send_start>();
+    REQUIRE(starts.size() == 2);
+    CHECK(starts[0].where.id == "w2");
+    CHECK(starts[1].where.id == "w2");
+}
+
+TEST_CASE("an unanswered start isn't repeated on a worker that has begun to drain") {
+    coordinator_fixture f;
+    f.add_worker("w1");
+    f.send(job_submitted{f.make_job("a", 1, one_accelerator)});
+    REQUIRE(f.take<send_start>());
+    auto report = f.make_report("w1");
+    report.draining = true;
+    f.send(worker_reported{report});
+    f.advance(1000);
+    CHECK_FALSE(f.take<send_start>());
+}
+
 // A worker that is cut off from the store loses its registry entry while its runs go on, whether it
 // drains or not. Taking the missing entry for its end led to two concurrent runs of one task.
 TEST_CASE("tasks of a worker that left the registry are reassigned only after its lease expires") {
