--- a/tests/soak/leader_test.cpp
+++ b/tests/soak/leader_test.cpp
@@ -85,7 +85,8 @@
 TEST_CASE("a job whose progress is read before its submission is loaded with both") {
     leader_fixture f;
     std::optional<loaded_jobs> found;
-    job_loader loader({f.loop, f.client, f.log, [&](loaded_jobs jobs) { found = std::move(jobs); },
+    job_loader loader({f.loop, f.client, f.log, std::make_shared<read_limiter>(2),
+                       [&](loaded_jobs jobs) { found = std::move(jobs); },
                        [](const scheduler::job_spec&) {}});
     constexpr time_ms initial_read_ms = 200;
     f.loop.run_until([] { return false; }, initial_read_ms);
