Only candidates wait at the store for each renewal of the lease

Change: the 24 hosts with the largest share of a core wait for renewals; the others read the lease every 1.5 s, at once if the leader they know doesn't answer, and take a vacant lease 2 s later than candidates.

--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -238,6 +238,7 @@
     void leader_answered(const std::shared_ptr<leader_call>& open, const http_response& response) {
         const bool final_answer = response.status == 200 || response.status == 410;
         if (!final_answer && boottime_now() < open->deadline) {
+            context.refresh_leader();
             context.counters.count("leader_retries_total", "status",
                                    std::to_string(response.status));
             run_after(context.loop, retry_delay_ms, [open](impl& i) { i.call_leader(open); });
--- a/libs/node/src/caller_api.h
+++ b/libs/node/src/caller_api.h
@@ -32,6 +32,8 @@
     std::function<leader*()> local_leader;
     /** Returns IP:PORT of the leader for calls from other entry hosts; empty while unknown. */
     std::function<std::string()> leader_address;
+    /** Called when that host doesn't answer as the leader. */
+    std::function<void()> refresh_leader;
 };
 
 /**
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -33,6 +33,8 @@
 /** Partitions over which submissions are spread, if the store allows as many: with these, a store
  * whose appends take 50 ms accepts 160 jobs a second. */
 constexpr std::uint32_t max_submission_partitions = 8;
+/** Number of hosts that take a vacant lease first: enough for the loss of several failure domains. */
+constexpr std::size_t max_candidates = 24;
 /** Memory for the payloads of the jobs that this host accepted last. */
 constexpr std::size_t max_payload_cache_bytes = std::size_t{1} << 20;
 /** Interval between log lines with the traffic of a leader. */
@@ -132,10 +134,15 @@
         api = std::make_unique<caller_api>(caller_context{
             loop, http, store, log, counters, [this] { return valid_configuration(); },
             settings.internal_address(), payloads, *peer_hosts, [this] { return term.get(); },
-            [this] { return leader_address(elector->state()); }});
+            [this] { return leader_address(elector->state()); }, [this] { elector->refresh(); }});
         follow_documents();
         elector = std::make_unique<leader_elector>(
             leader_elector_context{loop, store, log, settings.name, settings.internal_address(),
+                                   [this] {
+                                       return peer_hosts->hosts_before(settings.internal_address(),
+                                                                       settings.cpu_share) <
+                                              max_candidates;
+                                   },
                                    [this] { update_term(); }});
         follow_members();
         register_member();
--- a/libs/node/src/leader_elector.cpp
+++ b/libs/node/src/leader_elector.cpp
@@ -11,6 +11,10 @@
 
 /** Time that a read waits at the store for a new record. */
 constexpr time_ms read_wait_ms = 1000;
+/** Interval between reads of a host that isn't a candidate. */
+constexpr time_ms passive_read_interval_ms = 1500;
+/** Further delay of such a host before it takes a lease that none of its reads has found renewed. */
+constexpr time_ms passive_acquisition_delay_ms = passive_read_interval_ms + 500;
 /** Timeout of a write, after which it is retried; longer than the response of a slow store. */
 constexpr time_ms write_timeout_ms = 600;
 /** Upper bound of the random delay that spreads candidates for a vacant lease. */
@@ -60,6 +64,13 @@
     }
 
     void send_due_write(time_ms extra_delay_ms) {
+        const bool active = is_leader(state) || context.is_candidate();
+        follower->set_pacing(active ? read_wait_ms : 0, active ? 0 : passive_read_interval_ms);
+        if (active) {
+            follower->read_now();
+        } else {
+            extra_delay_ms += passive_acquisition_delay_ms;
+        }
         const auto jitter = static_cast<time_ms>(random() % max_jitter_ms);
         const auto due = begin_due_write(state, boottime_now(), jitter + extra_delay_ms);
         if (!due) {
@@ -98,6 +109,10 @@
     impl_->send_due_write(extra_delay_ms);
 }
 
+void leader_elector::refresh() {
+    impl_->follower->read_now();
+}
+
 void leader_elector::apply_record(std::uint64_t offset, const lease_record& record) {
     apply_lease_record(impl_->state, boottime_now(), offset, record);
     impl_->context.on_change();
--- a/libs/node/src/peers.cpp
+++ b/libs/node/src/peers.cpp
@@ -67,6 +67,7 @@
 struct peers::impl : callback_owner<impl> {
     struct member {
         std::string address;
+        double cpu_share = 0;
         time_ms failed_at = 0;
     };
 
@@ -175,12 +176,20 @@
     return impl_->largest_cpu_share;
 }
 
+std::size_t peers::hosts_before(const std::string& address, double cpu_share) const {
+    const auto& members = impl_->members;
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [&](const auto& m) {
+            return m.cpu_share > cpu_share || (m.cpu_share == cpu_share && m.address < address);
+        }));
+}
+
 void peers::add_member(const std::string& address, double cpu_share) {
     impl_->largest_cpu_share = std::max(impl_->largest_cpu_share, cpu_share);
     const bool known = std::any_of(impl_->members.begin(), impl_->members.end(),
                                    [&](const auto& m) { return m.address == address; });
     if (!known && address != impl_->context.own_address && parse_address(address)) {
-        impl_->members.push_back({address, 0});
+        impl_->members.push_back({address, cpu_share, 0});
     }
 }
 
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -30,6 +30,9 @@
      */
     std::uint64_t first_page_end = 0;
     page_timeout timeout;
+    /** Whether the delay between two reads is running, and the number of delays so far. */
+    bool pausing = false;
+    std::uint64_t pauses = 0;
     time_ms confirmed_at = 0;
     time_ms written_after = 0;
     std::vector<platform::logged_record> snapshot_records;
@@ -159,11 +162,22 @@
         }
         notify_read(true);
         if (options.pause_ms > 0) {
-            run_after(loop, options.pause_ms, [](impl& i) { i.read(); });
+            pausing = true;
+            run_after(loop, options.pause_ms, [pause = ++pauses](impl& i) {
+                if (i.pausing && i.pauses == pause) {
+                    i.read_now();
+                }
+            });
         } else {
             read();
         }
     }
+
+    void read_now() {
+        if (std::exchange(pausing, false)) {
+            read();
+        }
+    }
 };
 
 topic_follower::topic_follower(event_loop& loop, platform::store_client& store,
@@ -176,6 +190,15 @@
     impl_->disable_callbacks();
 }
 
+void topic_follower::set_pacing(time_ms wait_ms, time_ms pause_ms) {
+    impl_->options.wait_ms = wait_ms;
+    impl_->options.pause_ms = pause_ms;
+}
+
+void topic_follower::read_now() {
+    impl_->read_now();
+}
+
 bool topic_follower::loaded() const {
     return impl_->loaded;
 }
