--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -33,7 +33,8 @@
 /** Partitions over which submissions are spread, if the store allows as many: with these, a store
  * whose appends take 50 ms accepts 160 jobs a second. */
 constexpr std::uint32_t max_submission_partitions = 8;
-/** Number of hosts that take a vacant lease first: enough for the loss of several failure domains. */
+/** Number of hosts that take a vacant lease first: enough for the loss of several failure domains.
+ */
 constexpr std::size_t max_candidates = 24;
 /** Memory for the payloads of the jobs that this host accepted last. */
 constexpr std::size_t max_payload_cache_bytes = std::size_t{1} << 20;
@@ -136,14 +137,13 @@
             settings.internal_address(), payloads, *peer_hosts, [this] { return term.get(); },
             [this] { return leader_address(elector->state()); }, [this] { elector->refresh(); }});
         follow_documents();
-        elector = std::make_unique<leader_elector>(
-            leader_elector_context{loop, store, log, settings.name, settings.internal_address(),
-                                   [this] {
-                                       return peer_hosts->hosts_before(settings.internal_address(),
-                                                                       settings.cpu_share) <
-                                              max_candidates;
-                                   },
-                                   [this] { update_term(); }});
+        elector = std::make_unique<leader_elector>(leader_elector_context{
+            loop, store, log, settings.name, settings.internal_address(),
+            [this] {
+                return peer_hosts->hosts_before(settings.internal_address(), settings.cpu_share) <
+                       max_candidates;
+            },
+            [this] { update_term(); }});
         follow_members();
         register_member();
         run_after(loop, tick_ms, [](impl& i) { i.tick(); });
@@ -235,12 +235,11 @@
     void log_traffic() {
         if (term) {
             for (const auto& [kind, counts] : http.traffic().all()) {
-                log.write("traffic", "kind=" + kind + " calls=" + std::to_string(counts.calls) +
-                                         " connections=" +
-                                         std::to_string(counts.connections_opened) +
-                                         " sent_bytes=" + std::to_string(counts.bytes_sent) +
-                                         " received_bytes=" +
-                                         std::to_string(counts.bytes_received));
+                log.write("traffic",
+                          "kind=" + kind + " calls=" + std::to_string(counts.calls) +
+                              " connections=" + std::to_string(counts.connections_opened) +
+                              " sent_bytes=" + std::to_string(counts.bytes_sent) +
+                              " received_bytes=" + std::to_string(counts.bytes_received));
             }
         }
         run_after(loop, traffic_log_interval_ms, [](impl& i) { i.log_traffic(); });
@@ -324,8 +323,8 @@
     void update_term() {
         if (is_leader(elector->state()) && !term && !stopping) {
             term = std::make_unique<leader>(
-                leader_context{loop, http, store, log, counters, *peer_hosts,
-                               settings.link_mbps, settings.limits,
+                leader_context{loop, http, store, log, counters, *peer_hosts, settings.link_mbps,
+                               settings.limits,
                                [this](time_ms at) { return may_act(elector->state(), at); }},
                 elector->state().epoch, elector->state().earlier_orders_until_ms,
                 configuration ? configuration->guarantees : scheduler::guarantees{},
--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -46,10 +46,9 @@
     }
 
     void log_phase(const char* phase, std::size_t records) {
-        context.log.write("leader_loaded", std::string("phase=") + phase +
-                                               " records=" + std::to_string(records) +
-                                               " took_ms=" +
-                                               std::to_string(boottime_now() - started_at));
+        context.log.write("leader_loaded",
+                          std::string("phase=") + phase + " records=" + std::to_string(records) +
+                              " took_ms=" + std::to_string(boottime_now() - started_at));
     }
 
     void record_read(const platform::logged_record& record) {
--- a/libs/node/src/job_loader.h
+++ b/libs/node/src/job_loader.h
@@ -46,8 +46,8 @@
      * progress from earlier leaders. */
     void load_progress();
 
-    /** Reads the submission of a job if it is stored, then calls `done` with whether the store could
-     * be read. */
+    /** Reads the submission of a job if it is stored, then calls `done` with whether the store
+     * could be read. */
     void catch_up(const std::string& job, std::function<void(bool)> done);
 
 private:
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -70,9 +70,9 @@
         started_at = boottime_now();
         workers.set_fencing_token(epoch);
         context.log.write("leader_started", "epoch=" + std::to_string(epoch));
-        starts = std::make_unique<start_sender>(start_sender_context{
-            context.http, workers, context.peer_hosts, context.counters, epoch,
-            make_start_routing(context.link_mbps, started_at)});
+        starts = std::make_unique<start_sender>(
+            start_sender_context{context.http, workers, context.peer_hosts, context.counters, epoch,
+                                 make_start_routing(context.link_mbps, started_at)});
         load_jobs();
         writer = std::make_unique<progress_writer>(progress_writer_context{
             context.loop, context.store, context.log, context.counters, epoch,
@@ -136,8 +136,7 @@
             registry_records.push_back(record);
             return;
         }
-        const time_ms written_after =
-            registry_follower ? registry_follower->written_after_ms() : 0;
+        const time_ms written_after = registry_follower ? registry_follower->written_after_ms() : 0;
         if (record.value.empty()) {
             handle(scheduler::worker_unlisted{record.key, true});
             return;
@@ -250,22 +249,22 @@
         for (const auto& id : ids) {
             request.records.push_back({id, ""});
         }
-        context.store.append(request, guarded([ids = std::move(ids)](
-                                                  impl& i, const platform::append_outcome& outcome) {
-                                 if (outcome.status == platform::store_status::ok) {
-                                     i.handle(scheduler::submissions_deleted{ids});
-                                 }
-                             }));
+        context.store.append(
+            request,
+            guarded([ids = std::move(ids)](impl& i, const platform::append_outcome& outcome) {
+                if (outcome.status == platform::store_status::ok) {
+                    i.handle(scheduler::submissions_deleted{ids});
+                }
+            }));
     }
 
     void execute(scheduler::send_start& order) {
         const auto owner = state->jobs.find(order.task.job);
         const std::string accepted_by =
             owner == state->jobs.end() ? "" : owner->second->spec.accepted_by;
-        starts->send(std::move(order), accepted_by,
-                     guarded([](impl& i, const scheduler::start_answered& answer) {
-                         i.handle(answer);
-                     }));
+        starts->send(
+            std::move(order), accepted_by,
+            guarded([](impl& i, const scheduler::start_answered& answer) { i.handle(answer); }));
     }
 
     void execute(const scheduler::send_stop& order) {
--- a/libs/node/src/leader_elector.cpp
+++ b/libs/node/src/leader_elector.cpp
@@ -13,7 +13,8 @@
 constexpr time_ms read_wait_ms = 1000;
 /** Interval between reads of a host that isn't a candidate. */
 constexpr time_ms passive_read_interval_ms = 1500;
-/** Further delay of such a host before it takes a lease that none of its reads has found renewed. */
+/** Further delay of such a host before it takes a lease that none of its reads has found renewed.
+ */
 constexpr time_ms passive_acquisition_delay_ms = passive_read_interval_ms + 500;
 /** Timeout of a write, after which it is retried; longer than the response of a slow store. */
 constexpr time_ms write_timeout_ms = 600;
--- a/libs/node/src/leader_elector.h
+++ b/libs/node/src/leader_elector.h
@@ -29,8 +29,8 @@
  * for this host. The rules are in leadership.h; this class reads and writes the records.
  *
  * Candidates wait at the store for each renewal. The other hosts read the lease every
- * `passive_read_interval_ms`, so that the calls of the store don't grow with renewals times hosts; they
- * take a vacant lease that much later. Not thread safe.
+ * `passive_read_interval_ms`, so that the calls of the store don't grow with renewals times hosts;
+ * they take a vacant lease that much later. Not thread safe.
  */
 class leader_elector {
 public:
--- a/libs/node/src/leadership.cpp
+++ b/libs/node/src/leadership.cpp
@@ -29,15 +29,14 @@
     state.write_sent_at_ms = now_ms;
     ++state.write_count;
     state.release_sent = state.release_sent || released;
-    state.pending_write =
-        lease_record{state.name,
-                     state.address,
-                     state.incarnation,
-                     state.epoch,
-                     state.write_count,
-                     released,
-                     next_lease_ms(state),
-                     std::max<time_ms>(state.earlier_orders_until_ms - now_ms, 0)};
+    state.pending_write = lease_record{
+        state.name,           state.address,
+        state.incarnation,    state.epoch,
+        state.write_count,    released,
+        next_lease_ms(state), std::max<time_ms>(state.earlier_orders_until_ms - now_ms, 0)};
+    // The other hosts count with this record as soon as they read it, even if its answer is lost.
+    state.valid_until_ms =
+        std::min(state.valid_until_ms, now_ms + state.pending_write->lease_ms - lease_margin_ms);
     return {*state.pending_write, state.log_end};
 }
 
@@ -117,10 +116,9 @@
         record.released = j.at("released").get<bool>();
         record.lease_ms = integer_from_json<time_ms>(j.at("lease_ms"));
         // Records of releases without this field say nothing of earlier leaders.
-        record.earlier_orders_ms =
-            j.contains("earlier_orders_ms")
-                ? integer_from_json<time_ms>(j.at("earlier_orders_ms"))
-                : max_leader_lease_ms + leader_grace_ms;
+        record.earlier_orders_ms = j.contains("earlier_orders_ms")
+                                       ? integer_from_json<time_ms>(j.at("earlier_orders_ms"))
+                                       : max_leader_lease_ms + leader_grace_ms;
         const auto plausible = [](time_ms duration) {
             return duration >= 0 && duration <= max_plausible_lease_ms;
         };
--- a/libs/node/src/leadership.h
+++ b/libs/node/src/leadership.h
@@ -109,8 +109,8 @@
 
 /**
  * Returns whether this host may still give orders: it is the leader, has not released its lease,
- * and the lease has not expired for longer than the grace time. A leader whose process was suspended
- * detects that by this check.
+ * and the lease has not expired for longer than the grace time. A leader whose process was
+ * suspended detects that by this check.
  */
 [[nodiscard]] bool may_act(const leadership_state& state, time_ms now_ms);
 
--- a/libs/node/src/peers.h
+++ b/libs/node/src/peers.h
@@ -63,8 +63,8 @@
     /** Returns the largest share of a processor core that any host registered; 0 without any. */
     [[nodiscard]] double largest_cpu_share() const;
 
-    /** Returns how many registered hosts precede one with this share in the order in which hosts are
-     * candidates for the leadership: larger shares first, then by address. */
+    /** Returns how many registered hosts precede one with this share in the order in which hosts
+     * are candidates for the leadership: larger shares first, then by address. */
     [[nodiscard]] std::size_t hosts_before(const std::string& address, double cpu_share) const;
 
     /** Requests the view of a peer unless a request is pending. Call while the store is
--- a/libs/node/src/read_limiter.h
+++ b/libs/node/src/read_limiter.h
@@ -12,8 +12,8 @@
  * Limits how many pages of the store's topics are read at the same time.
  *
  * Answers a take-over on a host with a small link: each page in transit fills its connection's
- * window, and the renewals of the leader's lease wait behind all of them. With many pages at once the
- * lease ran out before the state was read, host after host. Not thread safe.
+ * window, and the renewals of the leader's lease wait behind all of them. With many pages at once
+ * the lease ran out before the state was read, host after host. Not thread safe.
  */
 class read_limiter {
 public:
--- a/libs/node/src/start_relay.h
+++ b/libs/node/src/start_relay.h
@@ -15,8 +15,8 @@
  * the leader's link.
  *
  * Needs no knowledge of who leads: each start carries the leader's fencing token, which a worker
- * compares with the highest it has seen, and a deadline on the worker's clock, so that a start which
- * this host sends late has no effect. Not thread safe.
+ * compares with the highest it has seen, and a deadline on the worker's clock, so that a start
+ * which this host sends late has no effect. Not thread safe.
  */
 class start_relay {
 public:
--- a/libs/node/src/start_sender.cpp
+++ b/libs/node/src/start_sender.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/** Longer than the time after which the other host gives up a start that a worker doesn't answer. */
+/** Longer than the time after which the other host gives up a start that a worker doesn't answer.
+ */
 constexpr time_ms batch_timeout_ms = 600;
 /** Size of a start's headers and of the fields besides its payload, in bytes. */
 constexpr std::size_t start_overhead_bytes = 300;
@@ -36,9 +37,8 @@
 
     void send_directly(const scheduler::send_start& order, const answer_handler& done) {
         context.counters.count("orders_total", "kind", "start");
-        context.workers.start(order, guarded([done](impl&, const scheduler::start_answered& a) {
-                                  done(a);
-                              }));
+        context.workers.start(
+            order, guarded([done](impl&, const scheduler::start_answered& a) { done(a); }));
     }
 
     void hold(const std::string& address, bool with_payloads, held_start start) {
@@ -89,8 +89,8 @@
         for (std::size_t i = 0; i < starts.size(); ++i) {
             const auto& order = starts[i].order;
             // A host that rejects a batch has sent none of its starts.
-            if (answer.status != 200 || (results && results.value()[i].outcome ==
-                                                        start_outcome::payload_missing)) {
+            if (answer.status != 200 ||
+                (results && results.value()[i].outcome == start_outcome::payload_missing)) {
                 send_directly(order, starts[i].done);
             } else if (!results) {
                 starts[i].done({order.where.id, order.task, order.run, false,
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -52,38 +52,37 @@
             send_page_read(after, handler);
             return;
         }
-        options.limiter->run([limiter = options.limiter, weak_self = weak_from_this(), after,
-                              handler] {
-            const auto self = weak_self.lock();
-            if (self && !self->callbacks_disabled()) {
-                self->send_page_read(after, handler);
-            } else {
-                limiter->finished();
-            }
-        });
+        options.limiter->run(
+            [limiter = options.limiter, weak_self = weak_from_this(), after, handler] {
+                const auto self = weak_self.lock();
+                if (self && !self->callbacks_disabled()) {
+                    self->send_page_read(after, handler);
+                } else {
+                    limiter->finished();
+                }
+            });
     }
 
     template <class Handler>
     void send_page_read(const std::string& after, Handler handler) {
-        store.read_newest(options.log_topic, options.partition, after, timeout.ms(),
-                          guarded([handler, after](impl& i, const platform::newest_outcome& page) {
-                              if (i.options.limiter) {
-                                  i.options.limiter->finished();
-                              }
-                              if (page.status != platform::store_status::ok) {
-                                  i.timeout.failed();
-                                  i.notify_read(false);
-                                  // The pages that were read stay valid: whatever changed since the
-                                  // first page is read again.
-                                  i.run_after(i.loop, failed_read_delay_ms,
-                                              [handler, after](impl& self) {
-                                                  self.fetch_page(after, handler);
-                                              });
-                                  return;
-                              }
-                              i.timeout.succeeded();
-                              handler(i, page);
-                          }));
+        store.read_newest(
+            options.log_topic, options.partition, after, timeout.ms(),
+            guarded([handler, after](impl& i, const platform::newest_outcome& page) {
+                if (i.options.limiter) {
+                    i.options.limiter->finished();
+                }
+                if (page.status != platform::store_status::ok) {
+                    i.timeout.failed();
+                    i.notify_read(false);
+                    // The pages that were read stay valid: whatever changed since the
+                    // first page is read again.
+                    i.run_after(i.loop, failed_read_delay_ms,
+                                [handler, after](impl& self) { self.fetch_page(after, handler); });
+                    return;
+                }
+                i.timeout.succeeded();
+                handler(i, page);
+            }));
     }
 
     void load() {
--- a/libs/node/src/topic_follower.h
+++ b/libs/node/src/topic_follower.h
@@ -41,7 +41,8 @@
     topic_follower(const topic_follower&) = delete;
     topic_follower& operator=(const topic_follower&) = delete;
 
-    /** Changes the wait of a read at the store and the delay between reads, from the next read on. */
+    /** Changes the wait of a read at the store and the delay between reads, from the next read on.
+     */
     void set_pacing(time_ms wait_ms, time_ms pause_ms);
 
     /** Reads now instead of at the end of the current delay; does nothing while a read is open. */
--- a/libs/node/tests/leadership_test.cpp
+++ b/libs/node/tests/leadership_test.cpp
@@ -146,8 +146,8 @@
     CHECK(b.earlier_orders_until_ms <= 1010 + initial_leader_lease_ms + leader_grace_ms);
 }
 
-// `a` is cut off from the store and still renews leases; `b` leads for a moment and is restarted, or
-// releases its lease. The term after it must count with the orders of `a`.
+// `a` is cut off from the store and still renews leases; `b` leads for a moment and is restarted,
+// or releases its lease. The term after it must count with the orders of `a`.
 TEST_CASE("a term after a short one counts with the leader before that") {
     std::uint64_t end = 0;
     auto a = make_host("a");
@@ -194,6 +194,23 @@
     CHECK(replacement.earlier_orders_until_ms >= now + leader_grace_ms - 100);
 }
 
+// The first lease of a term is longer than the later ones. A renewal that is stored without an
+// answer lets the other hosts count with the shorter one (found by a random schedule).
+TEST_CASE("a renewal with a shorter lease binds its sender before it is answered") {
+    std::uint64_t end = 0;
+    auto a = make_host("a");
+    auto b = make_host("b");
+    append(a, 1000, end);
+    REQUIRE(lease_valid(a, 1000 + initial_leader_lease_ms - 200));
+    const auto renewal = begin_due_write(a, 1250, 0);
+    REQUIRE(renewal);
+    REQUIRE(renewal->record.lease_ms < initial_leader_lease_ms);
+    apply_lease_record(b, 1255, end++, renewal->record);
+    const time_ms vacant_at = 1255 + renewal->record.lease_ms + 1;
+    CHECK(append(b, vacant_at, end));
+    CHECK_FALSE(lease_valid(a, vacant_at));
+}
+
 TEST_CASE("slow responses of the store make the lease longer") {
     std::uint64_t end = 0;
     auto a = make_host("a");
--- a/libs/node/tests/read_limiter_test.cpp
+++ b/libs/node/tests/read_limiter_test.cpp
@@ -34,7 +34,8 @@
     CHECK(last_started);
 }
 
-// Ten pages at once on a link of 2 Mbit/s delayed the renewals of the lease by more than its length.
+// Ten pages at once on a link of 2 Mbit/s delayed the renewals of the lease by more than its
+// length.
 TEST_CASE("the windows of all page reads together delay a lease renewal by less than 300 ms") {
     constexpr double window_bits = 64 * 1024 * 8;
     constexpr double allowed_delay_s = 0.3;
--- a/libs/node/tests/start_routing_test.cpp
+++ b/libs/node/tests/start_routing_test.cpp
@@ -14,8 +14,8 @@
 std::size_t replay(start_routing& routing, int starts_per_s, int duration_s) {
     std::size_t direct = 0;
     for (time_ms now = 0; now < duration_s * 1000; ++now) {
-        const int due = static_cast<int>((now + 1) * starts_per_s / 1000 -
-                                         now * starts_per_s / 1000);
+        const int due =
+            static_cast<int>((now + 1) * starts_per_s / 1000 - now * starts_per_s / 1000);
         for (int i = 0; i < due; ++i) {
             direct += take_direct_start(routing, start_bytes, now) ? start_bytes : 0;
         }
--- a/libs/scheduler/src/capacity.h
+++ b/libs/scheduler/src/capacity.h
@@ -22,7 +22,8 @@
     std::map<std::string, std::uint32_t> tasks_by_worker;
     /** Workers on which a task of the step failed. */
     std::set<std::string> excluded_workers;
-    /** Racks that are kept free for other tasks, except for tasks whose data is there; may be null. */
+    /** Racks that are kept free for other tasks, except for tasks whose data is there; may be null.
+     */
     const std::set<std::string_view>* avoided_racks = nullptr;
 };
 
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -23,9 +23,9 @@
 
 result<json> unpack(std::string_view data, std::initializer_list<int> layouts) {
     json j = json::from_msgpack(data.begin(), data.end(), true, false);
-    const bool known = j.is_array() && !j.empty() &&
-                       std::any_of(layouts.begin(), layouts.end(),
-                                   [&](int layout) { return j[0] == layout; });
+    const bool known =
+        j.is_array() && !j.empty() &&
+        std::any_of(layouts.begin(), layouts.end(), [&](int layout) { return j[0] == layout; });
     if (!known) {
         return error{error_kind::malformed_data, "stored record has an unknown layout version",
                      "upgrade every instance to a release that supports this layout"};
@@ -227,12 +227,11 @@
     for (const auto& s : spec.steps) {
         steps.push_back(encode_step(s));
     }
-    return pack(
-        json::array({submission_layout, spec.account, spec.queue, spec.policy.pool, spec.payload,
-                     spec.policy.priority, spec.policy.max_attempts, spec.policy.slack_factor,
-                     spec.policy.latency_objective_ms, spec.accepted_wall_ms, std::move(steps),
-                     spec.repeat_count, spec.first_start_wall_ms, spec.repeat_interval_ms,
-                     spec.accepted_by}));
+    return pack(json::array({submission_layout, spec.account, spec.queue, spec.policy.pool,
+                             spec.payload, spec.policy.priority, spec.policy.max_attempts,
+                             spec.policy.slack_factor, spec.policy.latency_objective_ms,
+                             spec.accepted_wall_ms, std::move(steps), spec.repeat_count,
+                             spec.first_start_wall_ms, spec.repeat_interval_ms, spec.accepted_by}));
 }
 
 result<job_spec> decode_job_spec(std::string_view data) {
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -206,7 +206,8 @@
 
 namespace {
 
-/** Releases the tasks that were placed on a worker before it began to drain and have not started. */
+/** Releases the tasks that were placed on a worker before it began to drain and have not started.
+ */
 void release_placed_tasks(reduce_context& ctx, worker& w) {
     const auto assigned = w.assigned;
     for (const auto& id : assigned) {
--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -363,8 +363,8 @@
 plan make_plan(coordinator_state& state, time_ms now_ms) {
     constexpr int urgent_priority = 0;
     planning_context p{
-        state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.capacities), {}, {},
-        {}};
+        state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.capacities), {},
+        {},    {}};
     p.headroom_racks = choose_headroom_racks(
         state.capacities, headroom_accelerators(state.recent_urgent_jobs, state.limits,
                                                 state.capacities.all_accelerators(), now_ms));
--- a/libs/scheduler/src/urgent_arrivals.cpp
+++ b/libs/scheduler/src/urgent_arrivals.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/** Time over which arrivals are averaged: long enough for some jobs of a small deployment, and short
- * enough to follow a daily wave. */
+/** Time over which arrivals are averaged: long enough for some jobs of a small deployment, and
+ * short enough to follow a daily wave. */
 constexpr time_ms window_ms = 8000;
 
 } // namespace
--- a/libs/scheduler/src/urgent_headroom.cpp
+++ b/libs/scheduler/src/urgent_headroom.cpp
@@ -16,8 +16,8 @@
 
 std::int64_t headroom_accelerators(const urgent_arrivals& arrivals, const settings& limits,
                                    std::int64_t all, time_ms now_ms) {
-    const double refill_s = static_cast<double>(limits.stop_timeout_ms + stop_overhead_ms) /
-                            milliseconds_per_second;
+    const double refill_s =
+        static_cast<double>(limits.stop_timeout_ms + stop_overhead_ms) / milliseconds_per_second;
     const double wanted = std::max(arrivals.accelerators_per_s(now_ms) * refill_s,
                                    arrivals.mean_accelerators(now_ms));
     return static_cast<std::int64_t>(
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -106,9 +106,9 @@
 }
 
 /**
- * Releases the assignments of an unreachable worker once it has left or its lease must have expired.
- * That it is missing from the registry doesn't show that its runs have ended: it may still work,
- * because only its connection to the store is cut.
+ * Releases the assignments of an unreachable worker once it has left or its lease must have
+ * expired. That it is missing from the registry doesn't show that its runs have ended: it may still
+ * work, because only its connection to the store is cut.
  */
 void release_after_lease_expiry(reduce_context& ctx, worker& w) {
     const bool reachable = w.verified && w.failed_polls == 0;
--- a/libs/scheduler/tests/codec_test.cpp
+++ b/libs/scheduler/tests/codec_test.cpp
@@ -105,18 +105,17 @@
 TEST_CASE("progress with a worker that its table lacks, or of an unknown layout, is an error") {
     for (const int worker : {1, -2, 1000}) {
         const json tasks = json::array({json::array({1, worker})});
-        const auto record =
-            pack(json::array({2, false, false, true,
-                              json::array({json::array({json::array({0, tasks})})}),
-                              json::array({json::array({"w1", 100})})}));
+        const auto record = pack(json::array({2, false, false, true,
+                                              json::array({json::array({json::array({0, tasks})})}),
+                                              json::array({json::array({"w1", 100})})}));
         job restored;
         restored.spec = coordinator_fixture::make_job("a", 1, {1000, 1000, 1});
         CHECK_FALSE(decode_progress(record, restored));
     }
     job restored;
     restored.spec = coordinator_fixture::make_job("a", 1, {1000, 1000, 1});
-    CHECK_FALSE(decode_progress(pack(json::array({3, false, false, true, json::array()})),
-                                restored));
+    CHECK_FALSE(
+        decode_progress(pack(json::array({3, false, false, true, json::array()})), restored));
 }
 
 TEST_CASE("a submission keeps the host that accepted it, and one without it is read") {
--- a/libs/scheduler/tests/coordinator_test.cpp
+++ b/libs/scheduler/tests/coordinator_test.cpp
@@ -102,7 +102,8 @@
 }
 
 // Repeated stops were half of all orders on a fleet with a full link.
-TEST_CASE("a stop that its worker has confirmed is sent again only if the run doesn't end in time") {
+TEST_CASE(
+    "a stop that its worker has confirmed is sent again only if the run doesn't end in time") {
     coordinator_fixture f;
     run_one_task(f);
     f.send(cancel_requested{"a", 1});
@@ -197,12 +198,13 @@
     CHECK(f.first_task("a").where.id == "w1"); // its poll has not failed
     f.send(poll_failed{"w1", order_failure::no_answer});
     f.advance(50);
-    const bool left = draining && time_known && how == removal::deleted &&
-                      silent_ms < three_heartbeats_ms;
+    const bool left =
+        draining && time_known && how == removal::deleted && silent_ms < three_heartbeats_ms;
     CHECK(f.first_task("a").where.id == (left ? "w2" : "w1"));
 }
 
-TEST_CASE("a draining worker whose entry is deleted before its announced end is not taken for gone") {
+TEST_CASE(
+    "a draining worker whose entry is deleted before its announced end is not taken for gone") {
     coordinator_fixture f;
     run_one_task(f);
     f.add_worker("w2");
@@ -257,10 +259,11 @@
     CHECK_FALSE(decode_progress("", restored));
 }
 
-// The earlier leader, which is cut off from the store only, renews the lease of a worker that is cut
-// off from the store and from the new leader (day cut-workers-under-silent-store).
-TEST_CASE("a new leader reassigns the tasks of an unlisted worker only after the last lease that an "
-          "earlier leader may have granted has expired") {
+// The earlier leader, which is cut off from the store only, renews the lease of a worker that is
+// cut off from the store and from the new leader (day cut-workers-under-silent-store).
+TEST_CASE(
+    "a new leader reassigns the tasks of an unlisted worker only after the last lease that an "
+    "earlier leader may have granted has expired") {
     constexpr time_ms granted_ms = 3900;
     constexpr double slowest_clock_rate = 0.98;
     constexpr time_ms allowed_delay_ms = 200;
@@ -271,10 +274,8 @@
     stored.push_back({known.spec, encode_progress(known)});
     for (const time_ms earlier_orders_for_ms : {-3000, 0, 1000, 5700}) {
         coordinator_fixture successor;
-        const time_ms earlier_orders_until_ms =
-            successor.now.monotonic_ms + earlier_orders_for_ms;
-        const time_ms last_grant_ms =
-            std::max(successor.now.monotonic_ms, earlier_orders_until_ms);
+        const time_ms earlier_orders_until_ms = successor.now.monotonic_ms + earlier_orders_for_ms;
+        const time_ms last_grant_ms = std::max(successor.now.monotonic_ms, earlier_orders_until_ms);
         const auto last_lease_end_ms =
             last_grant_ms +
             static_cast<time_ms>(static_cast<double>(granted_ms) / slowest_clock_rate);
--- a/libs/service/src/instance_service.cpp
+++ b/libs/service/src/instance_service.cpp
@@ -202,14 +202,15 @@
     }
 
     void route(const http_request& r, std::uint64_t token) {
-        router_context c = {state,
-                            *server,
-                            workers,
-                            [this](const event& e) { handle(e); },
-                            [this] { return render_metrics(state, client.traffic().total_bytes()); },
-                            [this](time_ms delay_ms, std::function<void()> action) {
-                                loop.after(delay_ms, std::move(action));
-                            }};
+        router_context c = {
+            state,
+            *server,
+            workers,
+            [this](const event& e) { handle(e); },
+            [this] { return render_metrics(state, client.traffic().total_bytes()); },
+            [this](time_ms delay_ms, std::function<void()> action) {
+                loop.after(delay_ms, std::move(action));
+            }};
         route_request(c, r, token);
     }
 };
--- a/tests/soak/leader_test.cpp
+++ b/tests/soak/leader_test.cpp
@@ -62,10 +62,10 @@
     }
 
     void start_leader_unready(const scheduler::settings& limits = {}) {
-        term = std::make_unique<leader>(
-            leader_context{loop, http, client, log, counters, peer_hosts, link_mbps, limits,
-                           [](time_ms) { return true; }},
-            1, 0, scheduler::guarantees{}, [] {});
+        term = std::make_unique<leader>(leader_context{loop, http, client, log, counters,
+                                                       peer_hosts, link_mbps, limits,
+                                                       [](time_ms) { return true; }},
+                                        1, 0, scheduler::guarantees{}, [] {});
     }
 
     job_answer query_job() {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -122,7 +122,8 @@
             << "\nfailure_domain: z1\nip: 127.0.0.1\ncaller_address: " << host.caller_address
             << "\nreadiness_address: " << loopback(port + 1) << "\ninternal_port: " << port + 2
             << "\nstore_address: " << loopback(port + 3)
-            << "\nstore_partitions: 4\ncpu_share: 0.25\nstop_grace_s: 6\nconfiguration_bound_ms: 2000\n"
+            << "\nstore_partitions: 4\ncpu_share: 0.25\nstop_grace_s: 6\nconfiguration_bound_ms: "
+               "2000\n"
             << "max_lease_ms: 6000\nstop_timeout_ms: 200\n"
             << "reclaim_ms: 2700\nremote_factor: 3\nstatus_retention_s: 120\n";
         hosts_.push_back(std::move(host));
