--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -9,6 +9,7 @@
 #include "platform/headers.h"
 #include "start_relay.h"
 #include "topic_follower.h"
+#include "traffic_report.h"
 
 #include <algorithm>
 
@@ -231,36 +232,19 @@
 
     bool ready() const { return !stopping && valid_configuration() != nullptr; }
 
-    /** Logs what this host has sent and received so far, by kind of call, while it leads. */
+    /** Logs the traffic of this host while it leads. */
     void log_traffic() {
         if (term) {
-            for (const auto& [kind, counts] : http.traffic().all()) {
-                log.write("traffic",
-                          "kind=" + kind + " calls=" + std::to_string(counts.calls) +
-                              " connections=" + std::to_string(counts.connections_opened) +
-                              " sent_bytes=" + std::to_string(counts.bytes_sent) +
-                              " received_bytes=" + std::to_string(counts.bytes_received));
-            }
+            node::log_traffic(http.traffic(), log);
         }
         run_after(loop, traffic_log_interval_ms, [](impl& i) { i.log_traffic(); });
     }
 
-    void export_traffic() {
-        for (const auto& [kind, counts] : http.traffic().all()) {
-            counters.set("traffic_calls_" + kind, static_cast<double>(counts.calls));
-            counters.set("traffic_connections_" + kind,
-                         static_cast<double>(counts.connections_opened));
-            counters.set("traffic_sent_bytes_" + kind, static_cast<double>(counts.bytes_sent));
-            counters.set("traffic_received_bytes_" + kind,
-                         static_cast<double>(counts.bytes_received));
-        }
-    }
-
     void handle_internal(const http_request& request, std::uint64_t token) {
         if (request.path == "/metrics") {
             counters.set("leader", is_leader(elector->state()) ? 1 : 0);
             counters.set("store_calls", static_cast<double>(store.calls_sent()));
-            export_traffic();
+            export_traffic(http.traffic(), counters);
             http_response response;
             response.content_type = metrics_content_type;
             response.body = counters.serialize();
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -272,35 +272,6 @@
     w.listed = true;
 }
 
-namespace {
-
-/** Intervals of silence after which the registry deletes an entry. */
-constexpr time_ms silent_intervals_before_deletion = 3;
-
-/**
- * Returns whether a draining worker whose entry was just deleted has left. The only other reason
- * for a deletion is silence for three heartbeat intervals, which can't have passed since the last
- * entry.
- */
-bool left_before_silence(const worker& w, const settings& limits, time_ms now_ms) {
-    return w.report.draining && w.reported_after_ms != 0 && now_ms >= w.leaves_at_ms &&
-           now_ms - w.reported_after_ms < silent_intervals_before_deletion * limits.heartbeat_ms;
-}
-
-} // namespace
-
-void apply_unlisted(reduce_context& ctx, const worker_unlisted& unlisted) {
-    const std::string& id = unlisted.id;
-    worker* w = find_worker(ctx.state, id);
-    if (w != nullptr && w->listed) {
-        w->listed = false;
-        w->has_left =
-            unlisted.deleted && left_before_silence(*w, ctx.state.limits, ctx.now.monotonic_ms);
-        ctx.state.capacities.mark_stale(id);
-        log_decision(ctx, "worker_unlisted", "worker=" + id);
-    }
-}
-
 void apply_poll(reduce_context& ctx, const poll_answered& answer) {
     worker* found = find_worker(ctx.state, answer.worker);
     if (found == nullptr) {
--- a/libs/scheduler/tests/coordinator_fixture.h
+++ b/libs/scheduler/tests/coordinator_fixture.h
@@ -128,4 +128,13 @@
     }
 };
 
+/** Runs a job with one task on worker w1. */
+inline void run_one_task(coordinator_fixture& f) {
+    f.add_worker("w1");
+    f.send(job_submitted{f.make_job("a", 1, {1000, 1000, 1})});
+    f.accept_start(*f.take<send_start>());
+    f.advance(50);
+    f.take_all<send_poll>();
+}
+
 } // namespace fulmarworks::scheduler
