Log each run that is lost with its worker, and count decisions by name

Cause of the gap: a crash showed only as task_released with one of four reasons, without the other runs on the worker or how long each had run, so the hypotheses of the incident couldn't be told apart. Adds worker_runs_lost, run_lost (evidence, observed_ms) and the metric decisions_total{event}; no decision changes.

--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -300,7 +300,10 @@
 
     void execute(const scheduler::leadership_lost&) { depose("worker_fenced"); }
 
-    void execute(const scheduler::decision& d) { context.log.write(d.name, d.fields); }
+    void execute(const scheduler::decision& d) {
+        context.counters.count("decisions_total", "event", d.name);
+        context.log.write(d.name, d.fields);
+    }
 
     [[nodiscard]] job_answer look_up(const std::string& id) const {
         const auto found = state->jobs.find(id);
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -1,5 +1,6 @@
 #include "lease.h"
 #include "run_supervision.h"
+#include "worker_loss.h"
 #include "worker_pass.h"
 #include "worker_sync.h"
 
@@ -122,6 +123,9 @@
                      " failed_polls=" + std::to_string(w.failed_polls) +
                      " reason=" + (left ? "left" : "lease_expired"));
     w.verified = false;
+    if (!left) {
+        log_worker_loss(ctx, w, loss_evidence::silent);
+    }
     ctx.state.capacities.mark_stale(w.report.incarnation.id);
     release_all(ctx, w, left ? "worker_left" : "lease_expired");
 }
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -1,6 +1,7 @@
 #include "worker_sync.h"
 
 #include "lease.h"
+#include "worker_loss.h"
 
 #include <algorithm>
 #include <iterator>
@@ -37,6 +38,7 @@
     log_decision(ctx, "worker_restarted",
                  "worker=" + w.report.incarnation.id +
                      " born_ms=" + std::to_string(started_wall_ms));
+    log_worker_loss(ctx, w, loss_evidence::restarted);
     w.report.incarnation.started_wall_ms = started_wall_ms;
     const auto assigned = w.assigned;
     for (const auto& id : assigned) {
@@ -325,6 +327,7 @@
     if (failure.reason == order_failure::other_incarnation) {
         // The address now serves another incarnation, so this one has terminated.
         w.verified = false;
+        log_worker_loss(ctx, w, loss_evidence::replaced);
         release_all(ctx, w, "worker_replaced");
     }
 }
