Failing test: a task that crashes each worker that starts it is started without end

Cause (so far a hypothesis that the logs support): nothing counts runs that are lost with their worker. The virtual cluster gets workers that crash, come back under their id, under another one, or never, and workers that are cut off.

--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -28,8 +28,8 @@
 } // namespace
 
 void log_worker_loss(reduce_context& ctx, const worker& w, loss_evidence evidence) {
-    const std::string fields = " worker=" + w.report.incarnation.id +
-                               " evidence=" + std::string(name_of(evidence));
+    const std::string fields =
+        " worker=" + w.report.incarnation.id + " evidence=" + std::string(name_of(evidence));
     std::size_t lost = 0;
     for (const auto& id : w.assigned) {
         const task_ref ref = find_task(ctx.state, id);
@@ -38,8 +38,8 @@
         }
         ++lost;
         log_decision(ctx, "run_lost",
-                     describe_task(id, ref.item->run) + fields + " observed_ms=" +
-                         std::to_string(observed_run_ms(w, *ref.item)));
+                     describe_task(id, ref.item->run) + fields +
+                         " observed_ms=" + std::to_string(observed_run_ms(w, *ref.item)));
     }
     if (lost > 0) {
         log_decision(ctx, "worker_runs_lost",
--- a/libs/scheduler/tests/simulated_cluster.cpp
+++ b/libs/scheduler/tests/simulated_cluster.cpp
@@ -12,10 +12,16 @@
 constexpr time_ms clock_step_ms = 5;
 constexpr time_ms tick_interval_ms = 25;
 constexpr int rack_size = 8;
+/** Time until a crashed worker is back. */
+constexpr time_ms crash_duration_ms = 3500;
+/** Time until the registry deletes the entry of a silent worker. */
+constexpr time_ms registry_silence_ms = 4500;
 
 worker_report make_worker_report(int number) {
-    return coordinator_fixture::make_report("w" + std::to_string(number),
-                                            "r" + std::to_string(number / rack_size));
+    auto report = coordinator_fixture::make_report("w" + std::to_string(number),
+                                                   "r" + std::to_string(number / rack_size));
+    report.address = "10.0.0.1:" + std::to_string(1000 + number);
+    return report;
 }
 
 } // namespace
@@ -25,13 +31,16 @@
     : latencies_(latencies), limits_(limits) {
     state_.limits = limits;
     for (int i = 0; i < workers; ++i) {
-        const auto report = make_worker_report(i);
-        workers_[report.incarnation.id];
-        send(worker_reported{report});
+        add_worker(make_worker_report(i));
     }
     run_for(200);
 }
 
+void simulated_cluster::add_worker(const worker_report& report) {
+    workers_[report.incarnation.id].report = report;
+    send(worker_reported{report});
+}
+
 void simulated_cluster::send(const event& e) {
     if (const auto* job = std::get_if<job_submitted>(&e)) {
         job_specs_[job->spec.id] = job->spec;
@@ -53,6 +62,7 @@
         now_.monotonic_ms += clock_step_ms;
         now_.wall_ms += clock_step_ms;
         end_due_runs();
+        advance_crashes();
         auto due = std::exchange(calls_, {});
         for (auto& call : due) {
             if (call.due_ms > now_.monotonic_ms) {
@@ -84,15 +94,36 @@
 
 void simulated_cluster::start_run(const send_start& order) {
     simulated_worker& w = workers_.at(order.where.id);
+    if (const auto failure = failure_of(w)) {
+        send(start_answered{order.where.id, order.task, order.run, false, *failure});
+        return;
+    }
+    if (w.runs.contains(order.task) && w.runs.at(order.task).number == order.run) {
+        send(start_answered{order.where.id, order.task, order.run, true, {}});
+        return;
+    }
+    ++start_counts_[order.task];
     const auto& steps = job_specs_.at(order.task.job).steps;
-    w.runs[order.task] = {order.run, now_.monotonic_ms + steps[order.task.step].estimate_ms,
-                          end_reason::done};
+    const auto crash_delay = crash_delays_ms_.find(order.task);
+    w.runs[order.task] = {
+        order.run, now_.monotonic_ms + steps[order.task.step].estimate_ms, end_reason::done,
+        crash_delay == crash_delays_ms_.end() ? 0 : now_.monotonic_ms + crash_delay->second};
     first_start_ms_.try_emplace(order.task, now_.monotonic_ms);
+    if (crash_delay != crash_delays_ms_.end() && crash_delay->second == 0) {
+        crash(w);
+        send(
+            start_answered{order.where.id, order.task, order.run, false, order_failure::no_answer});
+        return;
+    }
     send(start_answered{order.where.id, order.task, order.run, true, {}});
 }
 
 void simulated_cluster::stop_run(const send_stop& order) {
     simulated_worker& w = workers_.at(order.where.id);
+    if (const auto failure = failure_of(w)) {
+        send(stop_answered{order.where.id, order.task, order.run, false, *failure});
+        return;
+    }
     const auto found = w.runs.find(order.task);
     if (found != w.runs.end() && found->second.reason != end_reason::stopped) {
         found->second.reason = end_reason::stopped;
@@ -105,6 +136,10 @@
 
 void simulated_cluster::answer_poll(const send_poll& order) {
     simulated_worker& w = workers_.at(order.where.id);
+    if (const auto failure = failure_of(w)) {
+        send(poll_failed{order.where.id, *failure});
+        return;
+    }
     std::erase_if(w.ended, [&](const auto& e) { return e.sequence <= order.stored_sequence; });
     if (w.ended.empty() && order.wait_ms > 0) {
         // Long poll: the worker delays its answer until a run ends or the wait time is over.
@@ -114,7 +149,7 @@
         return;
     }
     worker_status status;
-    status.started_wall_ms = 1;
+    status.started_wall_ms = w.report.incarnation.started_wall_ms;
     status.clock_ms = now_.monotonic_ms;
     const int percent = static_cast<int>(now_.monotonic_ms / 1000 % 100);
     for (const auto& [task, r] : w.runs) {
@@ -138,6 +173,73 @@
     }
 }
 
+std::optional<order_failure> simulated_cluster::failure_of(const simulated_worker& w) const {
+    if (w.replaced) {
+        return order_failure::other_incarnation;
+    }
+    const bool silent = w.crashed || now_.monotonic_ms < w.cut_until_ms;
+    return silent ? std::optional(order_failure::no_answer) : std::nullopt;
+}
+
+void simulated_cluster::cut_worker(const std::string& id, time_ms for_ms) {
+    workers_.at(id).cut_until_ms = now_.monotonic_ms + for_ms;
+}
+
+void simulated_cluster::crash_worker(const std::string& id) {
+    crash(workers_.at(id));
+}
+
+void simulated_cluster::crash(simulated_worker& w) {
+    ++crash_count_;
+    w.crashed = true;
+    w.crashed_at_ms = now_.monotonic_ms;
+    w.runs.clear();
+    w.ended.clear();
+    w.next_end_sequence = 1;
+}
+
+void simulated_cluster::bring_back(simulated_worker& w) {
+    worker_report report = w.report;
+    report.incarnation.started_wall_ms = now_.wall_ms;
+    if (crash_outcome_ == crash_outcome::restarted) {
+        w.report = report;
+        w.crashed = false;
+        w.listed = true;
+        send(worker_reported{report});
+        return;
+    }
+    w.replaced = true;
+    report.incarnation.id += "+";
+    add_worker(report);
+}
+
+void simulated_cluster::advance_crashes() {
+    std::vector<std::string> crashed;
+    for (auto& [id, w] : workers_) {
+        const bool due = std::any_of(w.runs.begin(), w.runs.end(), [&](const auto& entry) {
+            const time_ms at = entry.second.crashes_at_ms;
+            return at != 0 && at <= now_.monotonic_ms;
+        });
+        if (due) {
+            crash(w);
+        }
+        if (w.crashed) {
+            crashed.push_back(id);
+        }
+    }
+    for (const auto& id : crashed) {
+        simulated_worker& w = workers_.at(id);
+        const time_ms down_for = now_.monotonic_ms - w.crashed_at_ms;
+        if (w.listed && down_for >= registry_silence_ms) {
+            w.listed = false;
+            send(worker_unlisted{id, true});
+        }
+        if (!w.replaced && down_for >= crash_duration_ms && crash_outcome_ != crash_outcome::lost) {
+            bring_back(w);
+        }
+    }
+}
+
 void simulated_cluster::change_leader() {
     ++leader_epoch_;
     std::vector<stored_job> jobs;
@@ -146,8 +248,10 @@
     }
     const auto accounts = state_.account_guarantees;
     state_ = recover(limits_, std::move(jobs), now_, 0);
-    for (std::size_t i = 0; i < workers_.size(); ++i) {
-        send(worker_reported{make_worker_report(static_cast<int>(i))});
+    for (const auto& [id, w] : workers_) {
+        if (w.listed) {
+            send(worker_reported{w.report});
+        }
     }
     send(guarantees_changed{accounts});
 }
@@ -167,6 +271,20 @@
     return latest;
 }
 
+int simulated_cluster::start_count(const task_id& task) const {
+    const auto found = start_counts_.find(task);
+    return found == start_counts_.end() ? 0 : found->second;
+}
+
+std::string simulated_cluster::worker_of(const task_id& task) const {
+    for (const auto& [id, w] : workers_) {
+        if (!w.crashed && w.runs.contains(task)) {
+            return id;
+        }
+    }
+    return "";
+}
+
 int simulated_cluster::stop_count(const std::string& job) const {
     const auto found = stop_counts_.find(job);
     return found == stop_counts_.end() ? 0 : found->second;
--- a/libs/scheduler/tests/simulated_cluster.h
+++ b/libs/scheduler/tests/simulated_cluster.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,13 @@
     time_ms stop_duration_ms = 400;
 };
 
+/** What becomes of a worker that crashes. */
+enum class crash_outcome {
+    replaced,  // comes back at its address under another id
+    restarted, // comes back under its id
+    lost,      // never comes back
+};
+
 /** A coordinator, its store and its workers on a virtual clock. */
 class simulated_cluster {
 public:
@@ -32,12 +40,28 @@
     /** Advances the virtual clock and processes everything that comes due. */
     void run_for(time_ms duration_ms);
 
+    /** Lets each run of a task crash its worker `after_ms` after its start. */
+    void set_crashing_task(const task_id& task, time_ms after_ms = 0) {
+        crash_delays_ms_[task] = after_ms;
+    }
+    void set_crash_outcome(crash_outcome outcome) { crash_outcome_ = outcome; }
+    /** Lets a worker neither answer nor report for some time; its runs continue. */
+    void cut_worker(const std::string& id, time_ms for_ms);
+    /** Crashes a worker, whatever runs there. */
+    void crash_worker(const std::string& id);
+
     /** Replaces the leader by a new one that recovers from the stored progress only. */
     void change_leader();
 
     /** Returns the time from the submission of a job until all its tasks had started; -1 if a task
      * never started. */
     [[nodiscard]] time_ms last_start_delay_ms(const std::string& job) const;
+    /** Returns how often a task was started. */
+    [[nodiscard]] int start_count(const task_id& task) const;
+    /** Returns the worker of a run that is active; empty if there is none. */
+    [[nodiscard]] std::string worker_of(const task_id& task) const;
+    /** Returns how many workers have crashed so far. */
+    [[nodiscard]] int crash_count() const { return crash_count_; }
     /** Returns the number of runs of a job that were stopped. */
     [[nodiscard]] int stop_count(const std::string& job) const;
     [[nodiscard]] const coordinator_state& state() const { return state_; }
@@ -47,8 +71,20 @@
         std::uint32_t number = 0;
         time_ms ends_at_ms = 0;
         end_reason reason = end_reason::done;
+        /** Monotonic time at which the run crashes its worker; 0 if it doesn't. */
+        time_ms crashes_at_ms = 0;
     };
     struct simulated_worker {
+        worker_report report;
+        bool crashed = false;
+        /** Whether another worker answers at the address. */
+        bool replaced = false;
+        /** Whether the registry holds an entry of the worker. */
+        bool listed = true;
+        /** Monotonic time of the crash. */
+        time_ms crashed_at_ms = 0;
+        /** Monotonic time until which the worker answers nobody. */
+        time_ms cut_until_ms = 0;
         std::map<task_id, simulated_run> runs;
         std::vector<ended_run> ended;
         std::uint64_t next_end_sequence = 1;
@@ -63,6 +99,12 @@
 
     void send(const event& e);
     void execute_call(const timed_call& call);
+    /** Returns why a worker doesn't answer a call; nothing if it does. */
+    [[nodiscard]] std::optional<order_failure> failure_of(const simulated_worker& w) const;
+    void add_worker(const worker_report& report);
+    void crash(simulated_worker& w);
+    void bring_back(simulated_worker& w);
+    void advance_crashes();
     void start_run(const send_start& order);
     void stop_run(const send_stop& order);
     void answer_poll(const send_poll& order);
@@ -80,6 +122,10 @@
     std::map<std::string, time_ms> submitted_at_ms_;
     std::map<task_id, time_ms> first_start_ms_;
     std::map<std::string, int> stop_counts_;
+    std::map<task_id, int> start_counts_;
+    std::map<task_id, time_ms> crash_delays_ms_;
+    crash_outcome crash_outcome_ = crash_outcome::replaced;
+    int crash_count_ = 0;
 };
 
 } // namespace fulmarworks::scheduler
