Check a worker's capacity again before each start is sent or repeated

Cause: a placement was compared with the capacity only when it was decided. Its start goes out once it is stored, once the runs in its place have ended, or again when it isn't answered, and the capacity may have shrunk meanwhile. Why it works: what is assigned, being stopped or stray on the worker is summed against its newest report right before an order; placed tasks that don't fit are released and placed anew. Ruled out: the capacity index (marked stale by each report) and reservations (they claim what is free now).

--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -1,5 +1,7 @@
 #include "lifecycle.h"
 
+#include "overbooking.h"
+
 #include <algorithm>
 
 namespace fulmarworks::scheduler {
@@ -232,6 +234,7 @@
     if (capacity_in_use) {
         return;
     }
+    release_excess_placements(ctx, w);
     for (const auto& id : w.assigned) {
         const task_ref ref = find_task(ctx.state, id);
         if (ref && ref.item->phase == task_phase::placed && ref.item->start_allowed) {
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -1,4 +1,5 @@
 #include "lease.h"
+#include "overbooking.h"
 #include "run_supervision.h"
 #include "worker_loss.h"
 #include "worker_pass.h"
@@ -105,7 +106,7 @@
         if (ref.item->phase == task_phase::stopping) {
             stop_task(ctx, id, ref, "repeat");
         } else if (w.failed_polls == 0 && !w.report.draining &&
-                   ref.item->order_attempts < max_start_attempts) {
+                   ref.item->order_attempts < max_start_attempts && !is_overbooked(ctx.state, w)) {
             order_start(ctx, id, ref);
         }
     }
--- a/libs/scheduler/tests/simulated_cluster.cpp
+++ b/libs/scheduler/tests/simulated_cluster.cpp
@@ -102,6 +102,10 @@
         send(start_answered{order.where.id, order.task, order.run, true, {}});
         return;
     }
+    // Orders that were under way when the capacity changed are allowed.
+    const bool change_known =
+        now_.monotonic_ms - w.capacity_changed_at_ms > latencies_.call_round_trip_ms;
+    overbooking_starts_ += change_known && overbooks(w, order.task) ? 1 : 0;
     ++start_counts_[order.task];
     const auto& steps = job_specs_.at(order.task.job).steps;
     const auto crash_delay = crash_delays_ms_.find(order.task);
@@ -118,6 +122,24 @@
     send(start_answered{order.where.id, order.task, order.run, true, {}});
 }
 
+bool simulated_cluster::overbooks(const simulated_worker& w, const task_id& task) const {
+    const auto need_of = [&](const task_id& id) {
+        return job_specs_.at(id.job).steps[id.step].per_task;
+    };
+    resources used = need_of(task);
+    for (const auto& [id, run] : w.runs) {
+        used += need_of(id);
+    }
+    return !fits(used, w.report.capacity);
+}
+
+void simulated_cluster::change_capacity(const std::string& id, const resources& capacity) {
+    simulated_worker& w = workers_.at(id);
+    w.report.capacity = capacity;
+    w.capacity_changed_at_ms = now_.monotonic_ms;
+    send(worker_reported{w.report});
+}
+
 void simulated_cluster::stop_run(const send_stop& order) {
     simulated_worker& w = workers_.at(order.where.id);
     if (const auto failure = failure_of(w)) {
--- a/libs/scheduler/tests/simulated_cluster.h
+++ b/libs/scheduler/tests/simulated_cluster.h
@@ -47,6 +47,8 @@
     void set_crash_outcome(crash_outcome outcome) { crash_outcome_ = outcome; }
     /** Lets a worker neither answer nor report for some time; its runs continue. */
     void cut_worker(const std::string& id, time_ms for_ms);
+    /** Changes the capacity of a worker, which reports it at once. Its runs continue. */
+    void change_capacity(const std::string& id, const resources& capacity);
     /** Crashes a worker, whatever runs there. */
     void crash_worker(const std::string& id);
 
@@ -58,6 +60,8 @@
     [[nodiscard]] time_ms last_start_delay_ms(const std::string& job) const;
     /** Returns how often a task was started. */
     [[nodiscard]] int start_count(const task_id& task) const;
+    /** Returns the number of starts that didn't fit the capacity that their worker had reported. */
+    [[nodiscard]] int overbooking_start_count() const { return overbooking_starts_; }
     /** Returns the worker of a run that is active; empty if there is none. */
     [[nodiscard]] std::string worker_of(const task_id& task) const;
     /** Returns how many workers have crashed so far. */
@@ -83,6 +87,8 @@
         bool listed = true;
         /** Monotonic time of the crash. */
         time_ms crashed_at_ms = 0;
+        /** Monotonic time of the latest change of the capacity. */
+        time_ms capacity_changed_at_ms = 0;
         /** Monotonic time until which the worker answers nobody. */
         time_ms cut_until_ms = 0;
         std::map<task_id, simulated_run> runs;
@@ -107,6 +113,8 @@
     void advance_crashes();
     void start_run(const send_start& order);
     void stop_run(const send_stop& order);
+    /** Returns whether a task would not fit beside the active runs. */
+    [[nodiscard]] bool overbooks(const simulated_worker& w, const task_id& task) const;
     void answer_poll(const send_poll& order);
     void end_due_runs();
 
@@ -126,6 +134,7 @@
     std::map<task_id, time_ms> crash_delays_ms_;
     crash_outcome crash_outcome_ = crash_outcome::replaced;
     int crash_count_ = 0;
+    int overbooking_starts_ = 0;
 };
 
 } // namespace fulmarworks::scheduler
