serve: end a job that crashes host after host, and none whose hosts were only silent

What callers saw: a repeatable job that crashes its hosts was placed on ten of them, each with other work; a job whose hosts fell silent ten times and came back ended as failed (worker_lost). Cause: one count for every way to lose a host, with a limit of ten. Change: lost hosts are kept on the job with their incarnation. One that answers again in the same incarnation is taken back, a restart is a crash. Why it works: each loss is on the job before it can be placed again, and only the host's own incarnation clears it. Left: bystanders aren't told apart here.

--- a/libs/ledger/include/ledger/job.h
+++ b/libs/ledger/include/ledger/job.h
@@ -122,6 +122,17 @@
 
 FULMARWORKS_JSON(job_member, where, ready, outcome)
 
+/** A host that was lost while it ran a task of a job. */
+struct lost_host {
+    host_index host = 0;
+    /** Incarnation of the host that was lost. */
+    std::uint64_t incarnation = 0;
+    /** Whether the host has restarted since; otherwise it may only have been silent. */
+    bool crashed = false;
+};
+
+FULMARWORKS_JSON(lost_host, host, incarnation, crashed)
+
 /** Entry of the decision history that `explain` shows. */
 struct job_decision {
     std::uint64_t offset = 0;
@@ -172,6 +183,8 @@
     time_ms ended_at = 0;
     std::string error;
     int lost_attempts = 0;
+    /** Hosts that were lost under the job, without those that turned out to be only silent. */
+    std::vector<lost_host> lost_hosts;
     std::vector<host_index> failed_hosts;
     job_result result;
     std::vector<job_decision> history;
@@ -180,7 +193,8 @@
 FULMARWORKS_JSON(job, id, request, request_digest, submit_offset, submitted_at, phase, reason,
                  attempt, cancel_requested, may_have_run, pinned, placed_urgent, cell, members,
                  checkpoint_first, stop_requested_at, progress_ms, not_before, placed_at,
-                 started_at, ended_at, error, lost_attempts, failed_hosts, result, history)
+                 started_at, ended_at, error, lost_attempts, lost_hosts, failed_hosts, result,
+                 history)
 
 /** Returns whether the members may start: all are ready, or the job has only one. */
 [[nodiscard]] inline bool may_start(const job& j) {
--- a/libs/ledger/include/ledger/state.h
+++ b/libs/ledger/include/ledger/state.h
@@ -52,6 +52,8 @@
     std::vector<std::string> failed_jobs;
     int quarantine_level = 0;
     time_ms quarantined_until = 0;
+    /** Jobs that were lost with the host while it is not known whether it crashed. */
+    std::vector<std::string> unresolved_jobs;
     /** Set by a quarantine. Afterwards the host takes one task at a time until one succeeds. */
     bool on_probation = false;
 };
@@ -79,7 +81,7 @@
 FULMARWORKS_JSON(writer_state, incarnation, sequence, last_written_at)
 FULMARWORKS_JSON(rack_owner, instance, epoch)
 FULMARWORKS_JSON(host_record, incarnation, wanted_on, failed_jobs, quarantine_level,
-                 quarantined_until, on_probation)
+                 quarantined_until, unresolved_jobs, on_probation)
 FULMARWORKS_JSON(run_time_estimate, samples, mean_ms)
 FULMARWORKS_JSON(retry_budget, tokens, updated_at)
 FULMARWORKS_JSON(publish_outcome, publish_id, accepted, version, faults)
--- a/libs/ledger/src/apply_hosts.cpp
+++ b/libs/ledger/src/apply_hosts.cpp
@@ -1,4 +1,5 @@
 #include "apply_context.h"
+#include "host_crashes.h"
 #include "job_lifecycle.h"
 #include "ownership.h"
 #include "plan_maintenance.h"
@@ -8,8 +9,15 @@
 
 namespace {
 
+/** What is known of a host whose tasks are over. */
+enum class host_loss {
+    restarted,
+    silent,
+    left, // in an orderly way
+};
+
 /** Ends the tasks on the host with the outcome `lost`. */
-void end_tasks_as_lost(apply_context& ctx, host_index h) {
+void end_tasks_as_lost(apply_context& ctx, host_index h, host_loss loss) {
     const std::set<std::string> affected = ctx.state.jobs_by_host[h];
     for (const auto& id : affected) {
         job& j = ctx.state.jobs.at(id);
@@ -18,6 +26,9 @@
                 end_member(ctx, j, i, task_outcome::lost);
             }
         }
+        if (loss != host_loss::left) {
+            record_lost_host(ctx, j, h, loss == host_loss::restarted);
+        }
         add_decision(ctx, j, "worker lost: " + ctx.state.hosts.hosts()[h].name);
         resolve_attempt(ctx, j);
     }
@@ -33,6 +44,7 @@
                                  j.members.size() == 1 && j.phase == job_phase::placed;
         if (can_requeue) {
             end_member(ctx, j, 0, task_outcome::lost);
+            record_lost_host(ctx, j, h, false);
             resolve_attempt(ctx, j);
         }
     }
@@ -68,11 +80,15 @@
     }
     host_record& known = s.host_records[*h];
     const bool restarted = r.incarnation != 0 && r.incarnation != known.incarnation;
-    if (restarted || !may_run_tasks(r.status)) {
-        end_tasks_as_lost(ctx, *h);
+    if (restarted) {
+        end_tasks_as_lost(ctx, *h, host_loss::restarted);
+    } else if (!may_run_tasks(r.status)) {
+        end_tasks_as_lost(ctx, *h,
+                          r.status == host_status::lost ? host_loss::silent : host_loss::left);
     }
     if (r.incarnation != 0) {
         known.incarnation = r.incarnation;
+        resolve_lost_host(ctx, *h, r.incarnation);
     }
     s.hosts.set_status(*h, r.status);
     if (r.status == host_status::suspect) {
--- a/libs/ledger/src/job_lifecycle.cpp
+++ b/libs/ledger/src/job_lifecycle.cpp
@@ -1,6 +1,7 @@
 #include "job_lifecycle.h"
 
 #include "base/digest.h"
+#include "host_crashes.h"
 #include "host_health.h"
 #include "plan_maintenance.h"
 
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr int max_lost_attempts = 10;
 constexpr time_ms max_backoff_ms = 60 * milliseconds_per_second;
 constexpr double estimate_smoothing_factor = 0.3;
 
@@ -117,10 +117,10 @@
 
 void retry_after_loss(apply_context& ctx, job& j) {
     ++j.lost_attempts;
-    if (j.lost_attempts >= max_lost_attempts) {
+    if (crashes_hosts(j)) {
         finish(ctx, j, job_phase::failed, job_reason::worker_lost);
     } else {
-        requeue(ctx, j, job_reason::worker_lost, 0);
+        requeue(ctx, j, job_reason::worker_lost, delay_after_loss(j));
     }
 }
 
