--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -12,6 +12,11 @@
 constexpr time_ms visibility_ms = 3000;
 /** `maxAttempts` in soak_configuration(): failed runs allowed per task. */
 constexpr int max_attempts = 4;
+/** Crashes of workers under a task after which it may be given up, and after which its starts are
+ * limited. */
+constexpr int crashes_to_give_up = 2;
+constexpr int crashes_to_limit_starts = 3;
+constexpr int max_starts_after_crashes = 2;
 
 std::string task_key(const std::string& job, int step, int index) {
     return job + "." + std::to_string(step) + "." + std::to_string(index);
@@ -32,7 +37,8 @@
     json steps = json::array();
     for (const auto& s : shape.steps) {
         steps.push_back({s.tasks, s.per_task.cpu_millis, s.per_task.memory_mb,
-                         s.per_task.accelerators, s.run_ms, s.gang, s.depends_on});
+                         s.per_task.accelerators, s.run_ms, s.gang, s.depends_on,
+                         s.crashes_worker});
     }
     return steps;
 }
@@ -44,7 +50,7 @@
         return shape;
     }
     for (const json& s : parsed.value()) {
-        shape.steps.push_back({s[0], {s[1], s[2], s[3]}, s[4], s[5], s[6]});
+        shape.steps.push_back({s[0], {s[1], s[2], s[3]}, s[4], s[5], s[6], s[7]});
     }
     return shape;
 }
@@ -109,6 +115,12 @@
     if (failed != acknowledged_failures_.end() && failed->second >= max_attempts) {
         add_violation("BUDGET", description + " after its last allowed attempt failed");
     }
+    const auto crashes = crashes_.find(key);
+    if (crashes != crashes_.end() && crashes->second >= crashes_to_limit_starts &&
+        ++starts_after_crashes_[key] > max_starts_after_crashes) {
+        add_violation("BUDGET", description + " after " + std::to_string(crashes->second) +
+                                    " workers had crashed under it");
+    }
     const time_ms cancel_confirmed_at = found->second.cancel_confirmed_at;
     if (cancel_confirmed_at != 0 && monotonic_now() > cancel_confirmed_at + cancel_propagation_ms) {
         add_violation("UNASKED", description + " later than the limit after its job was cancelled");
@@ -117,6 +129,9 @@
 
 void invariant_checker::run_ended(const task_name& task, const std::string& reason) {
     running_on_.erase(task_key(task.job, task.step, task.index));
+    if (reason == "crashed") {
+        ++crashes_[task_key(task.job, task.step, task.index)];
+    }
     const auto found = jobs.find(task.job);
     if (reason != "done" || found == jobs.end()) {
         return;
@@ -163,6 +178,9 @@
         for (const auto& [key, count] : acknowledged_failures_) {
             cause = cause || (key.starts_with(job + ".") && count >= max_attempts);
         }
+        for (const auto& [key, count] : crashes_) {
+            cause = cause || (key.starts_with(job + ".") && count >= crashes_to_give_up);
+        }
         if (!cause) {
             add_violation("LOST", job + " is shown as failed but no task used up its attempts");
         }
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -20,6 +20,8 @@
     time_ms run_ms = 0;
     bool gang = false;
     std::vector<int> depends_on;
+    /** Whether the first task crashes each worker that starts it. */
+    bool crashes_worker = false;
 };
 
 struct job_shape {
@@ -59,7 +61,8 @@
  * - TWICE: a task runs once at a time, and never again after its completion is acknowledged.
  * - LIMIT: the runs of a worker fit its capacity.
  * - ORDER: a step starts after the steps that it depends on are complete.
- * - BUDGET: a task doesn't start again after its last allowed attempt failed.
+ * - BUDGET: a task doesn't start again after its last allowed attempt failed, and at most twice
+ *   after three workers have crashed under it.
  * - UNASKED: only submitted jobs start, and none long after its cancellation was confirmed.
  * - REFUSED: a job that was refused on every attempt doesn't run.
  * - MIXED: a job is shown as completed only if all of its steps are complete.
@@ -73,8 +76,8 @@
                      const scheduler::resources& used, const scheduler::resources& capacity);
 
     /**
-     * A run has ended. `reason` is done, failed, stopped, lapsed, broken, alone, or died (with its
-     * worker).
+     * A run has ended. `reason` is done, failed, stopped, lapsed, broken, alone, died (with its
+     * worker, which was restarted or left) or crashed (with its worker).
      */
     void run_ended(const task_name& task, const std::string& reason);
 
@@ -105,6 +108,9 @@
     std::set<std::string> completed_tasks_;
     std::set<std::string> acknowledged_completions_;
     std::map<std::string, int> acknowledged_failures_;
+    /** Workers that crashed under each task, and its starts after the limit of crashes. */
+    std::map<std::string, int> crashes_;
+    std::map<std::string, int> starts_after_crashes_;
     std::set<std::string> started_jobs_;
     std::size_t start_count_ = 0;
     std::vector<std::string> violations_;
--- a/tests/soak/invariant_checker_test.cpp
+++ b/tests/soak/invariant_checker_test.cpp
@@ -91,6 +91,24 @@
     CHECK(f.first_rule() == "BUDGE");
 }
 
+TEST_CASE("a third start after three workers have crashed under a task violates BUDGET") {
+    checker_fixture f;
+    for (int i = 0; i < 5; ++i) {
+        f.run(f.first, "crashed");
+    }
+    CHECK(f.first_rule().empty());
+    f.checker.run_started(f.first, 6, "w1", small, capacity);
+    CHECK(f.first_rule() == "BUDGE");
+}
+
+TEST_CASE("a job may be shown as failed once two workers have crashed under one of its tasks") {
+    checker_fixture f;
+    f.run(f.first, "crashed");
+    f.run(f.first, "crashed");
+    f.checker.state_shown("a", "failed");
+    CHECK(f.first_rule().empty());
+}
+
 TEST_CASE("a start of an unknown job, or long after the cancellation, violates UNASKED") {
     checker_fixture f;
     f.checker.run_started(parse_task_name("b.0.0.0"), 1, "w1", small, capacity);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -39,6 +39,8 @@
                                       command);
     TCLAP::ValueArg<int> hosts("e", "entry-hosts", "Number of entry hosts", false, 4, "N", command);
     TCLAP::ValueArg<int> workers("w", "workers", "Number of workers", false, 12, "N", command);
+    TCLAP::SwitchArg crashes("c", "worker-crashes",
+                             "Let some tasks crash their workers, and capacities shrink", command);
     TCLAP::SwitchArg verbose("v", "verbose", "Print the faults of every seed", command);
     command.parse(argc, argv);
     const time_ms end =
@@ -53,6 +55,7 @@
         options.seed = seed.getValue() + seeds_run;
         options.entry_hosts = hosts.getValue();
         options.workers = workers.getValue();
+        options.worker_crashes = crashes.getValue();
         options.keep_logs_in = logs.getValue();
         failed += run_and_print(options, verbose.getValue()) ? 0 : 1;
     }
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -94,6 +94,10 @@
     }
     caller_view view;
     view.shape = random_shape();
+    const std::size_t number = checker_.jobs.size() + 1;
+    if (crashing_job_interval_ != 0 && number % crashing_job_interval_ == 0) {
+        view.shape.steps.front().crashes_worker = true;
+    }
     bodies_[id] = encode_submission(view.shape).dump();
     queues_[id] = queues[random_() % queues.size()];
     cancels_[id] = cancel;
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -25,6 +25,9 @@
     soak_client(event_loop& loop, invariant_checker& checker, std::vector<std::string> hosts,
                 std::uint64_t seed);
 
+    /** Lets one in `interval` jobs have a task that crashes its workers; 0 lets none. */
+    void set_crashing_job_interval(std::size_t interval) { crashing_job_interval_ = interval; }
+
     /** Submits a random job. With `cancel`, cancels it soon after its acceptance. */
     void submit_random(bool cancel);
 
@@ -52,6 +55,7 @@
     std::map<std::string, std::string> queues_;
     std::map<std::string, bool> cancels_;
     answer_counts answers_;
+    std::size_t crashing_job_interval_ = 0;
 };
 
 /** Returns the operator's configuration of the queues that the clients use. */
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -27,6 +27,9 @@
 constexpr time_ms stop_grace_ms = 6000;
 constexpr int workers_per_rack = 6;
 constexpr int ports_per_host = 4;
+constexpr std::size_t crashing_job_interval = 12;
+constexpr int capacity_changes = 12;
+constexpr scheduler::resources full_capacity{128000, 262144, 8};
 
 std::string loopback(int port) {
     return "127.0.0.1:" + std::to_string(port);
@@ -55,6 +58,10 @@
         loop_.run_until([] { return false; }, startup_ms);
         schedule_load();
         schedule_faults();
+        if (options_.worker_crashes) {
+            client_->set_crashing_job_interval(crashing_job_interval);
+            schedule_capacity_changes();
+        }
         loop_.run_until([] { return false; }, fault_phase_ms);
         clear_faults();
         client_->submit_random(false);
@@ -194,6 +201,20 @@
         }
     }
 
+    /** Draws from a generator of its own, so that the other faults of a seed stay the same. */
+    void schedule_capacity_changes() {
+        std::mt19937_64 random(options_.seed + 2);
+        for (int i = 0; i < capacity_changes; ++i) {
+            soak_worker* w = workers_[random() % workers_.size()].get();
+            const auto at_ms = static_cast<time_ms>(random() % fault_phase_ms);
+            scheduler::resources capacity = full_capacity;
+            capacity.accelerators = static_cast<std::int64_t>(1 + random() % 8);
+            inject(
+                at_ms, "capacity of a worker changes", [w, capacity] { w->set_capacity(capacity); },
+                0, nullptr);
+        }
+    }
+
     void schedule_store_fault(time_ms at_ms, time_ms duration_ms) {
         static constexpr std::pair<store_mode, const char*> modes[] = {
             {store_mode::refusing, "store refuses all calls"},
@@ -316,6 +337,7 @@
         store_.set_mode(store_mode::up, 0);
         for (auto& w : workers_) {
             w->set_fault(worker_fault::none);
+            w->set_capacity(full_capacity);
             w->rejoin();
         }
         for (auto& host : hosts_) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -10,6 +10,8 @@
     std::uint64_t seed = 1;
     int entry_hosts = 4;
     int workers = 12;
+    /** Whether some tasks crash their workers, and capacities shrink and grow. */
+    bool worker_crashes = false;
     /** Directory for the logs; empty deletes them after the run. */
     std::string keep_logs_in;
 };
--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-constexpr scheduler::resources capacity{128000, 262144, 8};
+constexpr scheduler::resources initial_capacity{128000, 262144, 8};
+constexpr time_ms crash_duration_ms = 1500;
+/** Platform limit on the time until a smaller capacity counts. */
+constexpr time_ms capacity_grace_ms = 3000 + 1500;
 constexpr time_ms heartbeat_ms = 1500;
 /** Time without a heartbeat after which the registry removes an entry. */
 constexpr time_ms registry_timeout_ms = 3 * heartbeat_ms;
@@ -34,7 +37,8 @@
 soak_worker::soak_worker(worker_context context, std::string id, std::string address,
                          std::string rack, double clock_rate)
     : context_(context), id_(std::move(id)), address_(std::move(address)), rack_(std::move(rack)),
-      clock_rate_(clock_rate), started_wall_(wall_now()), clock_started_at_(monotonic_now()),
+      clock_rate_(clock_rate), capacity_(initial_capacity), previous_capacity_(initial_capacity),
+      started_wall_(wall_now()), clock_started_at_(monotonic_now()),
       last_advance_at_(clock_started_at_) {}
 
 result<bool> soak_worker::listen() {
@@ -68,7 +72,7 @@
 }
 
 void soak_worker::handle(const http_request& request, std::uint64_t token) {
-    if (has_left_ || fault_ == worker_fault::unreachable) {
+    if (has_left_ || is_silent()) {
         return;
     }
     if (request.headers[0] != id_) {
@@ -87,12 +91,15 @@
         server_->respond(token, stop(order));
     } else if (fault_ == worker_fault::late_starts) {
         context_.loop.after(late_start_delay_ms, [this, order, incarnation = started_wall_] {
-            if (!has_left_ && incarnation == started_wall_) {
+            if (!has_left_ && down_until_ == 0 && incarnation == started_wall_) {
                 (void)start(order);
             }
         });
     } else {
-        server_->respond(token, start(order));
+        const http_response response = start(order);
+        if (!is_silent()) {
+            server_->respond(token, response);
+        }
     }
 }
 
@@ -138,10 +145,13 @@
     const job_shape shape = decode_shape(order.value("spec", "[]"));
     run_state started{task, run, shape.steps.at(task.step), 0, monotonic_now(), 0, false};
     runs_.push_back(started);
-    context_.checker.run_started(task, run, id_, used(), capacity);
+    context_.checker.run_started(task, run, id_, used(), enforced_capacity());
     if (started.shape.gang) {
         ++context_.gangs[gang_key(task, run)];
     }
+    if (started.shape.crashes_worker && task.index == 0) {
+        crash();
+    }
     return reply(200, json::object(), clock());
 }
 
@@ -256,6 +266,10 @@
     const time_ms now = monotonic_now();
     const time_ms elapsed_ms = now - last_advance_at_;
     last_advance_at_ = now;
+    if (down_until_ != 0 && now >= down_until_) {
+        down_until_ = 0;
+        restart();
+    }
     if (has_left_) {
         return;
     }
@@ -269,7 +283,7 @@
         }
     }
     if (draining_ && now >= leave_at_) {
-        reset_state();
+        reset_state("died");
         has_left_ = true;
         context_.store.put("keyed.servers", id_, "");
         return;
@@ -282,11 +296,11 @@
     }
     for (const std::uint64_t token : due) {
         polls_.erase(token);
-        if (fault_ != worker_fault::unreachable) {
+        if (!is_silent()) {
             server_->respond(token, make_report());
         }
     }
-    if (fault_ != worker_fault::unreachable && now - last_heartbeat_at_ >= heartbeat_ms) {
+    if (!is_silent() && now - last_heartbeat_at_ >= heartbeat_ms) {
         heartbeat();
     } else if (now - last_heartbeat_at_ >= registry_timeout_ms &&
                now - last_heartbeat_at_ < registry_timeout_ms + elapsed_ms) {
@@ -303,9 +317,9 @@
                   {"slots", 8},
                   {"state", draining_ ? "draining" : "ready"},
                   {"capacity",
-                   {{"cpu", capacity.cpu_millis},
-                    {"memMb", capacity.memory_mb},
-                    {"gpu", capacity.accelerators}}},
+                   {{"cpu", capacity_.cpu_millis},
+                    {"memMb", capacity_.memory_mb},
+                    {"gpu", capacity_.accelerators}}},
                   {"labels", {"a", rack_}},
                   {"born", started_wall_},
                   {"clockMs", clock()},
@@ -316,9 +330,38 @@
     context_.store.put("keyed.servers", id_, entry.dump());
 }
 
-void soak_worker::reset_state() {
+bool soak_worker::is_silent() const {
+    return fault_ == worker_fault::unreachable || down_until_ != 0;
+}
+
+scheduler::resources soak_worker::enforced_capacity() const {
+    const bool in_grace = monotonic_now() - capacity_changed_at_ < capacity_grace_ms;
+    return in_grace && fits(capacity_, previous_capacity_) ? previous_capacity_ : capacity_;
+}
+
+void soak_worker::set_capacity(const scheduler::resources& capacity) {
+    previous_capacity_ = enforced_capacity();
+    capacity_ = capacity;
+    capacity_changed_at_ = monotonic_now();
+    if (!has_left_ && !is_silent()) {
+        heartbeat();
+    }
+}
+
+void soak_worker::crash() {
+    reset_state("crashed");
+    polls_.clear();
+    down_until_ = monotonic_now() + crash_duration_ms;
+    if (++crash_count_ % 2 == 0) {
+        context_.loop.after(registry_timeout_ms,
+                            [this, id = id_] { context_.store.put("keyed.servers", id, ""); });
+        id_ += "+";
+    }
+}
+
+void soak_worker::reset_state(const std::string& reason) {
     for (const auto& run : runs_) {
-        context_.checker.run_ended(run.task, "died");
+        context_.checker.run_ended(run.task, reason);
         if (run.shape.gang) {
             --context_.gangs[gang_key(run.task, run.run)];
         }
@@ -332,7 +375,7 @@
 }
 
 void soak_worker::restart() {
-    reset_state();
+    reset_state("died");
     started_wall_ = std::max(wall_now(), started_wall_ + 1);
     clock_started_at_ = monotonic_now();
     sequence_ = 0;
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -46,6 +46,9 @@
 
     void set_fault(worker_fault fault) { fault_ = fault; }
 
+    /** Changes the capacity and reports it at once. Runs continue. */
+    void set_capacity(const scheduler::resources& capacity);
+
     /** Starts a new incarnation with the same id, without the runs and the state of the old one. */
     void restart();
 
@@ -98,7 +101,13 @@
     [[nodiscard]] std::string end_reason_of(const run_state& run) const;
     void end_run(std::size_t index, const std::string& reason);
     void heartbeat();
-    void reset_state();
+    /** Ends all runs for `reason` and forgets the state of the incarnation. */
+    void reset_state(const std::string& reason);
+    /** Answers nobody for some time, then starts again, every second time under another id. */
+    void crash();
+    [[nodiscard]] bool is_silent() const;
+    /** Returns the capacity that starts have to respect: a smaller one only after a while. */
+    [[nodiscard]] scheduler::resources enforced_capacity() const;
 
     worker_context context_;
     std::string id_;
@@ -107,6 +116,12 @@
     /** Rate of the worker's own clock relative to real time. */
     double clock_rate_;
     worker_fault fault_ = worker_fault::none;
+    scheduler::resources capacity_;
+    scheduler::resources previous_capacity_;
+    time_ms capacity_changed_at_ = 0;
+    int crash_count_ = 0;
+    /** Monotonic time until which a crashed worker is down; 0 unless it has crashed. */
+    time_ms down_until_ = 0;
     bool has_left_ = false;
     bool draining_ = false;
     time_ms leave_at_ = 0;
