Start nothing in a failure domain that the operator evacuates

Cause: the request was never read. Ruled out: late knowledge of it, as no line of code knew the key. What runs goes on.

--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "callback_owner.h"
 #include "caller_api.h"
+#include "evacuations.h"
 #include "leader.h"
 #include "leader_elector.h"
 #include "peers.h"
@@ -24,9 +25,6 @@
 constexpr time_ms document_wait_ms = 650;
 /** Interval between reads of the list of entry hosts, and between attempts to register in it. */
 constexpr time_ms member_interval_ms = 3000;
-/** Delay before a host with no processor share acquires a vacant lease. Hosts with a larger share
- * acquire it earlier, because the leader's work needs processor time. */
-constexpr time_ms max_acquisition_delay_ms = 400;
 /** Part of the configuration bound that is reserved for the network delay of a request. */
 constexpr time_ms configuration_margin_ms = 150;
 /** Time for which a stopping host accepts connections, until its load balancer has noticed. */
@@ -59,6 +57,7 @@
     std::shared_ptr<const gateway::configuration> configuration;
     /** The configuration as the operator wrote it; sent to peers. */
     std::string configuration_text;
+    std::set<std::string> evacuated_domains;
     /** Time (boottime) up to which a peer confirmed that the configuration is the newest. */
     time_ms peer_confirmed_at = 0;
     std::unique_ptr<topic_follower> document_follower;
@@ -206,17 +205,6 @@
         peer_hosts->add_member(record.key, std::strtod(record.value.c_str(), nullptr));
     }
 
-    /** Returns the delay before this host acquires a vacant lease; 0 for the largest processor
-     * share. */
-    time_ms acquisition_delay_ms() const {
-        const double largest_share = peer_hosts->largest_cpu_share();
-        if (largest_share <= settings.cpu_share) {
-            return 0;
-        }
-        return static_cast<time_ms>((largest_share - settings.cpu_share) / largest_share *
-                                    static_cast<double>(max_acquisition_delay_ms));
-    }
-
     /** Stores this host's address and processor share, by which other hosts find it. */
     void register_member() {
         platform::append_request request;
@@ -263,6 +251,11 @@
         follower_options options;
         options.log_topic = platform::topic::operator_documents;
         options.wait_ms = document_wait_ms;
+        options.on_snapshot = [this](const auto& records) {
+            set_evacuated_domains(evacuated_domains_of(records));
+            std::for_each(records.begin(), records.end(),
+                          [this](const auto& r) { apply_document(r); });
+        };
         options.on_record = [this](const auto& record) { apply_document(record); };
         options.on_read = [this](bool ok) { update_store_reachable(ok); };
         document_follower = std::make_unique<topic_follower>(loop, store, std::move(options));
@@ -276,6 +269,10 @@
     }
 
     void apply_document(const platform::logged_record& record) {
+        if (auto domains = evacuated_domains; apply_evacuation(domains, record)) {
+            set_evacuated_domains(std::move(domains));
+            return;
+        }
         if (record.key != platform::configuration_key || record.value.empty()) {
             return;
         }
@@ -299,7 +296,22 @@
         configuration = std::make_shared<const gateway::configuration>(std::move(decoded.value()));
         configuration_text = text;
         if (term) {
-            term->set_guarantees(configuration->guarantees);
+            term->set_requests(requests());
+        }
+    }
+
+    operator_requests requests() const {
+        return {configuration ? configuration->guarantees : scheduler::guarantees{},
+                evacuated_domains};
+    }
+
+    void set_evacuated_domains(std::set<std::string> domains) {
+        if (domains == evacuated_domains) {
+            return;
+        }
+        evacuated_domains = std::move(domains);
+        if (term) {
+            term->set_requests(requests());
         }
     }
 
@@ -310,8 +322,7 @@
                 leader_context{loop, http, store, log, counters, *peer_hosts, settings.link_mbps,
                                settings.limits,
                                [this](time_ms at) { return may_act(elector->state(), at); }},
-                elector->state().epoch, elector->state().earlier_orders_until_ms,
-                configuration ? configuration->guarantees : scheduler::guarantees{},
+                elector->state().epoch, elector->state().earlier_orders_until_ms, requests(),
                 [this] { resign(elector->state()); });
         } else if (!is_leader(elector->state()) && term) {
             log.write("leader_stopped", "");
@@ -320,7 +331,8 @@
     }
 
     void tick() {
-        elector->send_due_write(acquisition_delay_ms());
+        elector->send_due_write(
+            acquisition_delay(settings.cpu_share, peer_hosts->largest_cpu_share()));
         update_term();
         if (store.unavailable()) {
             peer_hosts->refresh_view();
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -42,7 +42,7 @@
     platform::worker_client workers;
     std::uint64_t epoch = 0;
     time_ms earlier_orders_until_ms = 0;
-    scheduler::guarantees guarantees;
+    operator_requests requests;
     std::function<void()> on_deposed;
 
     bool deposed = false;
@@ -185,7 +185,7 @@
                           "epoch=" + std::to_string(epoch) +
                               " jobs=" + std::to_string(state->jobs.size()) +
                               " took_ms=" + std::to_string(boottime_now() - started_at));
-        handle(scheduler::guarantees_changed{guarantees});
+        apply_requests();
         const auto records = std::move(registry_records);
         registry_records.clear();
         for (const auto& record : records) {
@@ -197,6 +197,13 @@
         handle(scheduler::tick{});
     }
 
+    void apply_requests() {
+        handle(scheduler::guarantees_changed{requests.guarantees});
+        if (state && state->evacuated_domains != requests.evacuated_domains) {
+            handle(scheduler::evacuations_changed{requests.evacuated_domains});
+        }
+    }
+
     void tick() {
         if (state) {
             handle(scheduler::tick{});
@@ -315,11 +322,11 @@
 };
 
 leader::leader(const leader_context& context, std::uint64_t epoch, time_ms earlier_orders_until_ms,
-               scheduler::guarantees guarantees, std::function<void()> on_deposed)
+               operator_requests requests, std::function<void()> on_deposed)
     : impl_(std::make_shared<impl>(context)) {
     impl_->epoch = epoch;
     impl_->earlier_orders_until_ms = earlier_orders_until_ms;
-    impl_->guarantees = std::move(guarantees);
+    impl_->requests = std::move(requests);
     impl_->on_deposed = std::move(on_deposed);
     impl_->start();
 }
@@ -335,9 +342,9 @@
     return impl_->state.has_value() && !impl_->deposed;
 }
 
-void leader::set_guarantees(const scheduler::guarantees& guarantees) {
-    impl_->guarantees = guarantees;
-    impl_->handle(scheduler::guarantees_changed{guarantees});
+void leader::set_requests(const operator_requests& requests) {
+    impl_->requests = requests;
+    impl_->apply_requests();
 }
 
 void leader::query(const std::string& job, std::function<void(const job_answer&)> done) {
--- a/libs/node/src/leader.h
+++ b/libs/node/src/leader.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace fulmarworks::node {
@@ -30,6 +31,12 @@
     std::function<bool(time_ms)> may_act;
 };
 
+/** What the operator wants the coordinator to respect. */
+struct operator_requests {
+    scheduler::guarantees guarantees;
+    std::set<std::string> evacuated_domains;
+};
+
 /** Answer to the query or the cancellation of a job. */
 struct job_answer {
     /** Whether the leader could answer; the other members are meaningless otherwise. */
@@ -53,7 +60,7 @@
      * `earlier_orders_until_ms`.
      */
     leader(const leader_context& context, std::uint64_t epoch, time_ms earlier_orders_until_ms,
-           scheduler::guarantees guarantees, std::function<void()> on_deposed);
+           operator_requests requests, std::function<void()> on_deposed);
     ~leader();
     leader(const leader&) = delete;
     leader& operator=(const leader&) = delete;
@@ -61,8 +68,8 @@
     /** Returns whether the state is recovered and the leader was not deposed. */
     [[nodiscard]] bool ready() const;
 
-    /** Applies changed guarantees of the client accounts. */
-    void set_guarantees(const scheduler::guarantees& guarantees);
+    /** Applies changed requests of the operator. */
+    void set_requests(const operator_requests& requests);
 
     /** Calls `done` with the state of a job. For an unknown job, reads all submissions stored so
      * far first. */
--- a/libs/node/src/leadership.cpp
+++ b/libs/node/src/leadership.cpp
@@ -86,6 +86,8 @@
     return now_ms - not_renewed_since_ms > state.newest_record->lease_ms + delay_ms;
 }
 
+/** Delay before a host with no share of a core would acquire a vacant lease. */
+constexpr time_ms max_acquisition_delay_ms = 400;
 /** A record with a longer lease is treated as damaged. Well above the current limit, so that later
  * releases may use longer leases. */
 constexpr time_ms max_plausible_lease_ms = 60'000;
@@ -230,6 +232,14 @@
     return begin_write(state, now_ms, false);
 }
 
+time_ms acquisition_delay(double cpu_share, double largest_cpu_share) {
+    if (largest_cpu_share <= cpu_share) {
+        return 0;
+    }
+    return static_cast<time_ms>((largest_cpu_share - cpu_share) / largest_cpu_share *
+                                static_cast<double>(max_acquisition_delay_ms));
+}
+
 void request_release(leadership_state& state) {
     state.releasing = true;
 }
--- a/libs/node/src/leadership.h
+++ b/libs/node/src/leadership.h
@@ -136,6 +136,10 @@
 [[nodiscard]] std::optional<lease_write> begin_due_write(leadership_state& state, time_ms now_ms,
                                                          time_ms delay_ms);
 
+/** Returns the delay before a host with this share of a core acquires a vacant lease; 0 for the
+ * largest share. The leader's work needs processor time. Thread safe. */
+[[nodiscard]] time_ms acquisition_delay(double cpu_share, double largest_cpu_share);
+
 /** Makes the next write release the lease; this host doesn't acquire it again. */
 void request_release(leadership_state& state);
 
--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -61,6 +61,8 @@
     std::map<std::string, std::unique_ptr<job>> jobs;
     std::map<std::string, worker> workers;
     guarantees account_guarantees;
+    /** Failure domains in which nothing new starts. */
+    std::set<std::string> evacuated_domains;
 
     /** Capacity of all workers; derived from the other members. */
     capacity_index capacities;
--- a/libs/scheduler/include/scheduler/event.h
+++ b/libs/scheduler/include/scheduler/event.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -35,6 +36,11 @@
     guarantees account_guarantees;
 };
 
+/** The operator wants nothing new to start in these failure domains. */
+struct evacuations_changed {
+    std::set<std::string> failure_domains;
+};
+
 struct poll_answered {
     std::string worker;
     time_ms sent_at_ms = 0;
@@ -88,8 +94,9 @@
 
 struct tick {};
 
-using event = std::variant<job_submitted, worker_reported, worker_unlisted, guarantees_changed,
-                           poll_answered, poll_failed, start_answered, stop_answered,
-                           records_stored, submissions_deleted, cancel_requested, tick>;
+using event =
+    std::variant<job_submitted, worker_reported, worker_unlisted, guarantees_changed,
+                 evacuations_changed, poll_answered, poll_failed, start_answered, stop_answered,
+                 records_stored, submissions_deleted, cancel_requested, tick>;
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/capacity.cpp
+++ b/libs/scheduler/src/capacity.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-bool accepts_work(const worker& w, time_ms now_ms) {
-    return w.listed && w.verified && w.failed_polls == 0 && !w.report.draining &&
+bool accepts_work(const coordinator_state& state, const worker& w, time_ms now_ms) {
+    return w.listed && w.verified && w.failed_polls == 0 && takes_starts(state, w) &&
            w.quarantined_until_ms <= now_ms;
 }
 
@@ -107,7 +107,7 @@
     capacity.id = w.report.incarnation.id;
     capacity.host = &w;
     capacity.free = w.report.capacity;
-    capacity.accepts_tasks = accepts_work(w, now_ms);
+    capacity.accepts_tasks = accepts_work(state, w, now_ms);
     capacity.in_use = !w.assigned.empty() || !w.orphaned_runs.empty();
     resources ending;
     for (const auto& task : w.assigned) {
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -60,6 +60,19 @@
     ctx.state.actions_after_next_batch.emplace_back(deferred_cancel_answer{request.request});
 }
 
+void apply_evacuations(reduce_context& ctx, const evacuations_changed& e) {
+    ctx.state.evacuated_domains = e.failure_domains;
+    std::string names;
+    for (const auto& name : e.failure_domains) {
+        names += (names.empty() ? "" : ",") + name;
+    }
+    log_decision(ctx, "evacuations_changed", "failure_domains=" + names);
+    for (const auto& [id, w] : ctx.state.workers) {
+        ctx.state.capacities.mark_stale(id);
+    }
+    ctx.state.plan_needed = true;
+}
+
 void execute(reduce_context& ctx, const deferred_action& action) {
     if (const auto* start = std::get_if<deferred_start>(&action)) {
         const task_ref ref = find_task(ctx.state, start->task);
@@ -222,6 +235,7 @@
         ctx.state.account_guarantees = e.account_guarantees;
         ctx.state.plan_needed = true;
     }
+    void operator()(const evacuations_changed& e) const { apply_evacuations(ctx, e); }
     void operator()(const poll_answered& e) const { apply_poll(ctx, e); }
     void operator()(const poll_failed& e) const { apply_poll_failure(ctx, e); }
     void operator()(const start_answered& e) const { apply_start_answer(ctx, e); }
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -210,14 +210,14 @@
 
 namespace {
 
-/** Releases the tasks that were placed on a worker before it began to drain and have not started.
- */
+/** Releases the tasks that were placed on a worker before it stopped taking starts. */
 void release_placed_tasks(reduce_context& ctx, worker& w) {
+    const std::string_view reason = w.report.draining ? "worker_drains" : "domain_evacuated";
     const auto assigned = w.assigned;
     for (const auto& id : assigned) {
         const task_ref ref = find_task(ctx.state, id);
         if (ref && ref.item->phase == task_phase::placed) {
-            release_task(ctx, id, ref, "worker_drains");
+            release_task(ctx, id, ref, reason);
         }
     }
 }
@@ -225,7 +225,7 @@
 } // namespace
 
 void send_allowed_starts(reduce_context& ctx, worker& w) {
-    if (w.report.draining) {
+    if (!takes_starts(ctx.state, w)) {
         release_placed_tasks(ctx, w);
         return;
     }
--- a/libs/scheduler/src/lookup.cpp
+++ b/libs/scheduler/src/lookup.cpp
@@ -24,6 +24,10 @@
     return found == state.workers.end() ? nullptr : &found->second;
 }
 
+bool takes_starts(const coordinator_state& state, const worker& w) {
+    return !w.report.draining && !state.evacuated_domains.contains(w.report.failure_domain);
+}
+
 resources booked_resources(const step_spec& spec) {
     resources need = spec.per_task;
     if (spec.fills_idle_cpu) {
--- a/libs/scheduler/src/lookup.h
+++ b/libs/scheduler/src/lookup.h
@@ -20,6 +20,9 @@
 /** Returns a worker that is listed or still has assignments or runs; null for any other. */
 [[nodiscard]] worker* find_worker(coordinator_state& state, const std::string& id);
 
+/** Returns whether the worker may get starts: it stays, and its failure domain isn't evacuated. */
+[[nodiscard]] bool takes_starts(const coordinator_state& state, const worker& w);
+
 /** Calls `visit(task_id, task_ref)` for every task of the job. */
 template <class Visit>
 void for_each_task(job& j, const Visit& visit) {
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -105,7 +105,7 @@
         const task_ref ref = find_task(ctx.state, id);
         if (ref.item->phase == task_phase::stopping) {
             stop_task(ctx, id, ref, "repeat");
-        } else if (w.failed_polls == 0 && !w.report.draining &&
+        } else if (w.failed_polls == 0 && takes_starts(ctx.state, w) &&
                    ref.item->order_attempts < max_start_attempts && !is_overbooked(ctx.state, w)) {
             order_start(ctx, id, ref);
         }
--- a/tests/soak/leader_test.cpp
+++ b/tests/soak/leader_test.cpp
@@ -65,7 +65,7 @@
         term = std::make_unique<leader>(leader_context{loop, http, client, log, counters,
                                                        peer_hosts, link_mbps, limits,
                                                        [](time_ms) { return true; }},
-                                        1, 0, scheduler::guarantees{}, [] {});
+                                        1, 0, operator_requests{}, [] {});
     }
 
     job_answer query_job() {
