--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -71,6 +71,15 @@
             request.excluded_workers.insert(t.failed_on);
         }
     }
+    if (limits_tasks_per_worker(request)) {
+        for (const auto& planned : p.result.placements) {
+            if (planned.task.job == group.owner->spec.id &&
+                planned.task.occurrence == group.parent->number &&
+                planned.task.step == group.step) {
+                ++request.tasks_by_worker[planned.where.id];
+            }
+        }
+    }
     for (const std::uint32_t index : group.tasks) {
         const task& t = group.parent->steps[group.step].tasks[index];
         request.required_isolation =
