Blame no start for the crash of a worker that was down already; take over unresolved losses

Trace: 117 workers go down at once; task 0.0.43's first run was 383 ms old; its second start went to an idle worker that was down too, not yet noticed. Cause: any unconfirmed start counted as one that may have crashed its worker. Change: it is a likely cause only if the worker had answered within a second before; a suspect starts only after its worker has answered a poll; placed tasks leave a worker whose poll fails. Second, found by reading: a new leader counted silent workers as crashed and could hold a task at five for good, neither started nor given up. Unresolved losses are stored apart and stand after 20 s of the new leader.

--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -95,6 +95,9 @@
     bool plan_needed = false;
     time_ms planned_at_ms = 0;
     time_ms jobs_checked_at_ms = 0;
+    /** Tasks whose silent workers an earlier leader had not resolved, and when that was read. */
+    std::vector<task_id> inherited_losses;
+    time_ms recovered_at_ms = 0;
     worker_pass maintenance;
     worker_pass inspection;
 };
--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -62,6 +62,8 @@
     /** Monotonic time of the last change of `percent`. */
     time_ms progressed_at_ms = 0;
     time_ms started_at_ms = 0;
+    /** Monotonic time of the current placement. */
+    time_ms placed_at_ms = 0;
     /** Whether the placement is stored, so that the run may start. */
     bool start_allowed = false;
     /** Monotonic time of the latest order in the current phase. */
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -117,7 +117,7 @@
 }
 
 /** Encodes a task as 0 (never placed), 1 (complete) or an array whose last elements are omitted if
- * they have their defaults. A silent worker counts as crashed: a later leader can't tell. */
+ * they have their defaults. */
 json encode_task(const task& t, worker_table& workers) {
     const stored_phase phase = stored_phase_of(t);
     if (phase == stored_phase::complete) {
@@ -128,15 +128,16 @@
     }
     const int where = phase == stored_phase::assigned ? workers.index_of(t.where) : no_worker;
     json j = json::array({t.run, where});
-    const std::uint32_t crashes = lost_workers(t.losses);
-    if (t.failures > 0 || !t.checkpoint.empty() || !t.failed_on.empty() || crashes > 0) {
+    const bool lost = lost_workers(t.losses) > 0;
+    if (t.failures > 0 || !t.checkpoint.empty() || !t.failed_on.empty() || lost) {
         j.push_back(t.failures);
         j.push_back(t.checkpoint);
         j.push_back(workers.index_of({t.failed_on, 0}));
     }
-    if (crashes > 0) {
-        j.push_back(crashes);
+    if (lost) {
+        j.push_back(t.losses.crashes);
         j.push_back(t.losses.start_crashes);
+        j.push_back(t.losses.unresolved);
     }
     return j;
 }
@@ -158,6 +159,7 @@
     if (j.size() > 5) {
         read(j.at(5), t.losses.crashes);
         read(j.at(6), t.losses.start_crashes);
+        read(j.at(7), t.losses.unresolved);
     }
     return t;
 }
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -5,6 +5,7 @@
 #include "lifecycle.h"
 #include "scheduler/codec.h"
 #include "start_planner.h"
+#include "worker_loss.h"
 #include "worker_sync.h"
 
 #include <algorithm>
@@ -218,6 +219,7 @@
             create_due_occurrences(ctx, *ctx.state.jobs.at(id));
         }
         request_purge(ctx);
+        expire_inherited_losses(ctx);
     }
     maintain_workers(ctx);
     if (ctx.now.monotonic_ms - ctx.state.planned_at_ms >= replan_interval_ms) {
@@ -287,8 +289,14 @@
             register_active_job(state, *j);
         }
         book_assignments(state, *j, lease_expiry_bound);
+        for_each_task(*j, [&](const task_id& id, const task_ref& ref) {
+            if (ref.item->losses.unresolved > 0) {
+                state.inherited_losses.push_back(id);
+            }
+        });
         state.jobs.emplace(j->spec.id, std::move(j));
     }
+    state.recovered_at_ms = now.monotonic_ms;
     state.plan_needed = true;
     return state;
 }
--- a/libs/scheduler/src/gang_reservation.cpp
+++ b/libs/scheduler/src/gang_reservation.cpp
@@ -11,6 +11,7 @@
  * order, a poll, and the batch that stores the end.
  */
 constexpr time_ms reservation_margin_ms = 1100;
+
 } // namespace
 
 void reserve_capacity(const coordinator_state& state, const task_group& group,
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -177,6 +177,7 @@
     const task_ref ref = find_task(ctx.state, id);
     task& t = *ref.item;
     t.phase = task_phase::placed;
+    t.placed_at_ms = ctx.now.monotonic_ms;
     t.run = run;
     t.where = where;
     t.percent = 0;
@@ -208,11 +209,7 @@
                                     t.checkpoint, deadline});
 }
 
-namespace {
-
-/** Releases the tasks that were placed on a worker before it stopped taking starts. */
-void release_placed_tasks(reduce_context& ctx, worker& w) {
-    const std::string_view reason = w.report.draining ? "worker_drains" : "domain_evacuated";
+void release_placed_tasks(reduce_context& ctx, worker& w, std::string_view reason) {
     const auto assigned = w.assigned;
     for (const auto& id : assigned) {
         const task_ref ref = find_task(ctx.state, id);
@@ -222,11 +219,14 @@
     }
 }
 
-} // namespace
+bool awaits_answer(const task& t, const worker& w) {
+    return t.phase == task_phase::placed && is_suspect(t.losses) &&
+           w.answered_at_ms < t.placed_at_ms;
+}
 
 void send_allowed_starts(reduce_context& ctx, worker& w) {
     if (!takes_starts(ctx.state, w)) {
-        release_placed_tasks(ctx, w);
+        release_placed_tasks(ctx, w, w.report.draining ? "worker_drains" : "domain_evacuated");
         return;
     }
     const bool capacity_in_use = std::any_of(w.orphaned_runs.begin(), w.orphaned_runs.end(),
@@ -237,7 +237,8 @@
     release_excess_placements(ctx, w);
     for (const auto& id : w.assigned) {
         const task_ref ref = find_task(ctx.state, id);
-        if (ref && ref.item->phase == task_phase::placed && ref.item->start_allowed) {
+        if (ref && ref.item->phase == task_phase::placed && ref.item->start_allowed &&
+            !awaits_answer(*ref.item, w)) {
             order_start(ctx, id, ref);
         }
     }
--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -11,6 +11,8 @@
 
 /** Time within which a worker that was cut off usually answers again. */
 constexpr time_ms silent_worker_limit_ms = 20'000;
+/** A worker that answered this long before a start is taken to have been up then. */
+constexpr time_ms recent_answer_ms = 1000;
 /** A long-running task that has lasted this long is no longer suspect. */
 constexpr time_ms stable_run_ms = 30'000;
 
@@ -28,8 +30,9 @@
     return t.confirmed_at_ms == 0 ? 0 : std::max<time_ms>(0, w.answered_at_ms - t.confirmed_at_ms);
 }
 
-/** Returns the runs of the worker that may have started, and logs them. */
-std::vector<lost_run> take_down_runs(reduce_context& ctx, const worker& w, loss_evidence evidence) {
+/** Returns the runs of the worker that may have started, and logs each of them. */
+std::vector<lost_run> collect_lost_runs(reduce_context& ctx, const worker& w,
+                                        loss_evidence evidence) {
     std::vector<lost_run> runs;
     const std::string source =
         "worker=" + w.report.incarnation.id + " evidence=" + std::string(name_of(evidence));
@@ -40,8 +43,11 @@
         }
         task& t = *ref.item;
         const time_ms observed_ms = observed_run_ms(w, t);
-        // The previous leader's observations are not stored, so nothing is known of such a run.
-        const bool unknown = t.phase == task_phase::unverified;
+        // The previous leader's observations are not stored, and a worker that had not answered for
+        // some time may have been down before the start was sent.
+        const bool unknown =
+            t.phase == task_phase::unverified ||
+            (t.confirmed_at_ms == 0 && t.started_at_ms - w.answered_at_ms > recent_answer_ms);
         if (ref.spec->long_running && observed_ms >= stable_run_ms) {
             t.losses = {};
         }
@@ -90,10 +96,19 @@
            (conclusive && losses.start_crashes >= max_start_crashes);
 }
 
+/** Gives up the jobs of those tasks that have lost too many workers, whatever the cause. */
+void give_up_hopeless(reduce_context& ctx, std::vector<task_id> tasks) {
+    std::erase_if(tasks, [&](const task_id& id) {
+        const task_ref ref = find_task(ctx.state, id);
+        return !ref || !is_hopeless(ref.item->losses, false);
+    });
+    give_up_jobs(ctx, tasks);
+}
+
 } // namespace
 
 std::vector<task_id> count_worker_crash(reduce_context& ctx, worker& w, loss_evidence evidence) {
-    auto runs = take_down_runs(ctx, w, evidence);
+    auto runs = collect_lost_runs(ctx, w, evidence);
     if (w.report.draining) {
         forget_lost_runs(ctx, w);
         return {};
@@ -146,7 +161,7 @@
 }
 
 void remember_lost_runs(reduce_context& ctx, worker& w) {
-    auto runs = take_down_runs(ctx, w, loss_evidence::silent);
+    auto runs = collect_lost_runs(ctx, w, loss_evidence::silent);
     if (w.report.draining) {
         return;
     }
@@ -168,16 +183,29 @@
     if (w.lost_runs.empty() || ctx.now.monotonic_ms - w.runs_lost_at_ms < silent_worker_limit_ms) {
         return;
     }
-    std::vector<task_id> hopeless;
+    std::vector<task_id> tasks;
     for (const auto& run : w.lost_runs) {
-        hopeless.push_back(run.task);
+        tasks.push_back(run.task);
     }
     resolve_lost_runs(ctx, w, [](const task_ref& ref) { ++ref.item->losses.crashes; });
-    std::erase_if(hopeless, [&](const task_id& id) {
+    give_up_hopeless(ctx, std::move(tasks));
+}
+
+void expire_inherited_losses(reduce_context& ctx) {
+    if (ctx.state.inherited_losses.empty() ||
+        ctx.now.monotonic_ms - ctx.state.recovered_at_ms < silent_worker_limit_ms) {
+        return;
+    }
+    auto tasks = std::exchange(ctx.state.inherited_losses, {});
+    for (const auto& id : tasks) {
         const task_ref ref = find_task(ctx.state, id);
-        return !ref || !is_hopeless(ref.item->losses, false);
-    });
-    give_up_jobs(ctx, hopeless);
+        if (ref && !ref.owner->ended()) {
+            ref.item->losses.crashes += std::exchange(ref.item->losses.unresolved, 0);
+            mark_losses_changed(ctx, ref);
+        }
+    }
+    give_up_hopeless(ctx, std::move(tasks));
+    ctx.state.plan_needed = true;
 }
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_loss.h
+++ b/libs/scheduler/src/worker_loss.h
@@ -39,4 +39,7 @@
 /** Counts a worker that has been silent for too long as crashed. */
 void expire_lost_runs(reduce_context& ctx, worker& w);
 
+/** The same for the silent workers of an earlier leader, which this one doesn't know. */
+void expire_inherited_losses(reduce_context& ctx);
+
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -51,7 +51,12 @@
         lease_end = worker_clock(w, now) + granted_lease(ctx.state.limits);
         grant_lease(w, lease_end);
     }
-    const bool may_wait = w.verified && w.failed_polls == 0 && busy;
+    const bool answer_awaited =
+        std::any_of(w.assigned.begin(), w.assigned.end(), [&](const task_id& id) {
+            const task_ref ref = find_task(ctx.state, id);
+            return ref && awaits_answer(*ref.item, w);
+        });
+    const bool may_wait = w.verified && w.failed_polls == 0 && busy && !answer_awaited;
     w.poll_outstanding = true;
     w.poll_sent_at_ms = now;
     ctx.out.emplace_back(send_poll{w.report.incarnation, w.report.address, lease_end,
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -332,6 +332,7 @@
     if (w.failed_polls++ == 0) {
         log_decision(ctx, "worker_unreachable", "worker=" + failure.worker);
     }
+    release_placed_tasks(ctx, w, "worker_unreachable");
     if (failure.reason == order_failure::other_incarnation) {
         // The address now serves another incarnation, so this one has terminated.
         w.verified = false;
