--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -113,8 +113,7 @@
 }
 
 void soak_worker::extend_lease(const json& order) {
-    const time_ms now = clock();
-    const time_ms end = std::min(order.value("deadlineMs", time_ms{0}), now + max_lease_ms);
+    const time_ms end = std::min(order.value("deadlineMs", time_ms{0}), clock() + max_lease_ms);
     lease_end_ = std::max(lease_end_, end);
 }
 
@@ -142,8 +141,8 @@
         return reply(409, {{"reason", refusal}}, clock());
     }
     extend_lease(order);
-    const job_shape shape = decode_shape(order.value("spec", "[]"));
-    run_state started{task, run, shape.steps.at(task.step), 0, monotonic_now(), 0, false};
+    const step_shape shape = decode_shape(order.value("spec", "[]")).steps.at(task.step);
+    run_state started{task, run, shape, 0, monotonic_now(), 0, false};
     runs_.push_back(started);
     context_.checker.run_started(task, run, id_, used(), enforced_capacity());
     if (started.shape.gang) {
@@ -264,8 +263,7 @@
 
 void soak_worker::advance() {
     const time_ms now = monotonic_now();
-    const time_ms elapsed_ms = now - last_advance_at_;
-    last_advance_at_ = now;
+    const time_ms elapsed_ms = now - std::exchange(last_advance_at_, now);
     if (down_until_ != 0 && now >= down_until_) {
         down_until_ = 0;
         restart();
