Blame a run for one crash only, and start a suspect only right after its worker answered

Change: a run is a likely cause of one crash at most; a suspect's start needs an answer of its worker within 100 ms before it is sent, so a slow store leads to another poll.

--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -51,6 +51,9 @@
     time_ms lost_at_ms = 0;
     /** Whether the current run has lasted for the probation time. */
     bool proven = false;
+    /** Whether a worker was lost under the current run. The run may remain assigned to the worker's
+     * next incarnation until it is certain that it doesn't start there. */
+    bool lost = false;
     /** Worker of the run; valid in all phases except `idle` and `complete`. */
     worker_incarnation where;
     /** Latest checkpoint; empty if there is none. */
@@ -62,8 +65,6 @@
     /** Monotonic time of the last change of `percent`. */
     time_ms progressed_at_ms = 0;
     time_ms started_at_ms = 0;
-    /** Monotonic time of the current placement. */
-    time_ms placed_at_ms = 0;
     /** Whether the placement is stored, so that the run may start. */
     bool start_allowed = false;
     /** Monotonic time of the latest order in the current phase. */
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -18,6 +18,8 @@
  * quarantined.
  */
 constexpr std::size_t failed_jobs_before_quarantine = 2;
+/** A worker that answered this long ago is certain enough to be up for the start of a suspect. */
+constexpr time_ms fresh_answer_ms = 100;
 /** Time for which a worker on which tasks fail gets no new ones. */
 constexpr time_ms quarantine_ms = 6000;
 
@@ -177,7 +179,6 @@
     const task_ref ref = find_task(ctx.state, id);
     task& t = *ref.item;
     t.phase = task_phase::placed;
-    t.placed_at_ms = ctx.now.monotonic_ms;
     t.run = run;
     t.where = where;
     t.percent = 0;
@@ -186,6 +187,7 @@
     t.start_expires_at_worker_ms = 0;
     t.confirmed_at_ms = 0;
     t.proven = false;
+    t.lost = false;
     t.start_allowed = false;
     ref.owner->started = true;
     ctx.state.workers.at(where.id).assigned.insert(id);
@@ -219,9 +221,9 @@
     }
 }
 
-bool awaits_answer(const task& t, const worker& w) {
+bool awaits_answer(const task& t, const worker& w, time_ms now_ms) {
     return t.phase == task_phase::placed && is_suspect(t.losses) &&
-           w.answered_at_ms < t.placed_at_ms;
+           now_ms - w.answered_at_ms > fresh_answer_ms;
 }
 
 void send_allowed_starts(reduce_context& ctx, worker& w) {
@@ -238,7 +240,7 @@
     for (const auto& id : w.assigned) {
         const task_ref ref = find_task(ctx.state, id);
         if (ref && ref.item->phase == task_phase::placed && ref.item->start_allowed &&
-            !awaits_answer(*ref.item, w)) {
+            !awaits_answer(*ref.item, w, ctx.now.monotonic_ms)) {
             order_start(ctx, id, ref);
         }
     }
--- a/libs/scheduler/src/lifecycle.h
+++ b/libs/scheduler/src/lifecycle.h
@@ -49,7 +49,7 @@
  * Returns whether a task under suspicion of crashing workers waits until its worker answers a poll.
  * Otherwise its start might be sent to a worker that is down already, and be blamed for that.
  */
-[[nodiscard]] bool awaits_answer(const task& t, const worker& w);
+[[nodiscard]] bool awaits_answer(const task& t, const worker& w, time_ms now_ms);
 
 /** Stops a run. It occupies its capacity until the worker lists it as ended. */
 void stop_task(reduce_context& ctx, const task_id& id, task_ref ref, std::string_view reason);
--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -43,10 +43,11 @@
         }
         task& t = *ref.item;
         const time_ms observed_ms = observed_run_ms(w, t);
-        // The previous leader's observations are not stored, and a worker that had not answered for
-        // some time may have been down before the start was sent.
+        // The previous leader's observations are not stored; a run that was lost before has not
+        // started in the next incarnation as far as is known; and a worker that had not answered
+        // for some time may have been down before the start was sent.
         const bool unknown =
-            t.phase == task_phase::unverified ||
+            t.phase == task_phase::unverified || std::exchange(t.lost, true) ||
             (t.confirmed_at_ms == 0 && t.started_at_ms - w.answered_at_ms > recent_answer_ms);
         if (ref.spec->long_running && observed_ms >= stable_run_ms) {
             t.losses = {};
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -54,7 +54,7 @@
     const bool answer_awaited =
         std::any_of(w.assigned.begin(), w.assigned.end(), [&](const task_id& id) {
             const task_ref ref = find_task(ctx.state, id);
-            return ref && awaits_answer(*ref.item, w);
+            return ref && awaits_answer(*ref.item, w, now);
         });
     const bool may_wait = w.verified && w.failed_polls == 0 && busy && !answer_awaited;
     w.poll_outstanding = true;
