Fault proxy of the tests: delayed data goes only to the connection it came from

Cause: data that waits for its delay named its connection by address only. Once that was closed, the data went to a freed bufferevent, or to the connection that had got the same memory, so an answer of the store reached another call. Ruled out: the product (the backtrace ends in the proxy's timer). Change: pairs carry a number; delayed data is queued for each direction, so data that comes after a delay has ended doesn't overtake it.

--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -1,6 +1,8 @@
 #include "fault_proxy.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -28,6 +30,12 @@
         bufferevent* client = nullptr;
         bufferevent* target = nullptr;
         proxy_fault fault = proxy_fault::none;
+        /** Distinguishes the pair from an earlier one at the same address in memory. */
+        std::uint64_t number = 0;
+        /** Data that is delayed, in order, and the time at which the last of it is due. */
+        std::deque<std::string> delayed_to_client;
+        std::deque<std::string> delayed_to_target;
+        time_ms last_due_ms = 0;
     };
 
     event_loop& loop;
@@ -36,6 +44,7 @@
     proxy_fault fault = proxy_fault::none;
     time_ms delay_ms = 0;
     std::set<connection_pair*> pairs;
+    std::uint64_t next_number = 1;
 
     explicit impl(event_loop& l) : loop(l) {}
 
@@ -61,19 +70,30 @@
             evbuffer_drain(input, evbuffer_get_length(input));
             return;
         }
-        if (p->fault != proxy_fault::delay) {
+        auto& delayed = is_answer ? p->delayed_to_client : p->delayed_to_target;
+        if (p->fault != proxy_fault::delay && delayed.empty()) {
             bufferevent_write_buffer(to, input);
             return;
         }
         std::string data(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, data.data(), data.size());
-        loop.after(delay_ms, [this, p, to, data] {
-            if (pairs.contains(p)) {
-                bufferevent_write(to, data.data(), data.size());
+        delayed.push_back(std::move(data));
+        const time_ms delay = p->fault == proxy_fault::delay ? delay_ms : 0;
+        p->last_due_ms = std::max(p->last_due_ms, monotonic_now() + delay);
+        loop.after(p->last_due_ms - monotonic_now(), [this, p, number = p->number, is_answer] {
+            if (pairs.contains(p) && p->number == number) {
+                send_delayed(p, is_answer);
             }
         });
     }
 
+    void send_delayed(connection_pair* p, bool is_answer) {
+        auto& delayed = is_answer ? p->delayed_to_client : p->delayed_to_target;
+        const std::string& data = delayed.front();
+        bufferevent_write(is_answer ? p->client : p->target, data.data(), data.size());
+        delayed.pop_front();
+    }
+
     static void on_read(bufferevent* from, void* argument) {
         auto* p = static_cast<connection_pair*>(argument);
         p->proxy->forward(p, from, from == p->client ? p->target : p->client);
@@ -89,7 +109,7 @@
     }
 
     void accept(evutil_socket_t descriptor) {
-        auto* p = new connection_pair{this, nullptr, nullptr, fault};
+        auto* p = new connection_pair{this, nullptr, nullptr, fault, next_number++, {}, {}, 0};
         p->client = bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
         p->target = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
         pairs.insert(p);
