--- /dev/null
+++ b/tests/soak/entry_host.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/time.h"
+#include "child_process.h"
+#include "fault_proxy.h"
+
+#include <memory>
+#include <string>
+
+namespace fulmarworks::soak {
+
+inline constexpr int ports_per_host = 4;
+
+/** One entry host: a real process and the proxy between it and the store. */
+struct entry_host {
+    std::string name;
+    std::string settings_file;
+    std::string log_file;
+    std::string caller_address;
+    std::unique_ptr<fault_proxy> store_proxy;
+    std::unique_ptr<child_process> process;
+    /** Monotonic time at which a process that was sent SIGTERM is killed; 0 unless it was. */
+    time_ms kill_at = 0;
+};
+
+[[nodiscard]] std::string loopback(int port);
+
+/**
+ * Writes the settings of an entry host, and opens its proxy; doesn't start the process. The host
+ * uses `ports_per_host` ports from `first_port` on. Throws std::runtime_error if a port is in use.
+ */
+[[nodiscard]] entry_host make_entry_host(event_loop& loop, const std::string& name,
+                                         const std::string& directory, int first_port,
+                                         const std::string& store_address);
+
+/** Starts the process; its output is appended to the log file. */
+void start_process(entry_host& host);
+
+} // namespace fulmarworks::soak
--- a/tests/soak/invariant_checker_test.cpp
+++ b/tests/soak/invariant_checker_test.cpp
@@ -151,3 +151,16 @@
     unfinished.checker.check_final_state();
     CHECK(unfinished.first_rule() == "LOST:");
 }
+
+TEST_CASE("a violation is reported with the runs of its job only") {
+    checker_fixture f;
+    f.checker.run_started(f.first, 1, "w1", small, capacity);
+    f.checker.run_started(f.first, 2, "w2", small, capacity);
+    f.checker.run_ended(f.first, "crashed");
+    CHECK(f.checker.violating_jobs() == std::set<std::string>{f.first.job});
+    const auto runs = f.checker.run_history(f.first.job);
+    REQUIRE(runs.size() == 3);
+    CHECK(runs[1].find("event=started run=2 worker=w2") != std::string::npos);
+    CHECK(runs[2].find("event=ended reason=crashed") != std::string::npos);
+    CHECK(f.checker.run_history("other").empty());
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,9 @@
             std::cout << "  " << line << "\n";
         }
     }
+    for (const auto& line : report.evidence) {
+        std::cout << "  " << line << "\n";
+    }
     for (const auto& line : report.violations) {
         std::cout << "  violation: " << line << "\n";
     }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -22,6 +22,8 @@
     /** The injected faults, one line each, in the order of scheduling. */
     std::vector<std::string> faults;
     std::string summary;
+    /** What is known of each job with violations: its runs, and the hosts' log lines about it. */
+    std::vector<std::string> evidence;
 };
 
 /**
