A crash counts towards giving up only if the worker was seen up at the start, and three of them are needed

What callers saw: a job shown as failed (LOST) although its tasks hadn't crashed workers, or only one. Cause, by the traces: a sound task was on a worker that another task crashed (one crash), became suspect, and its next worker restarted for another reason 0.1 s and 0.75 s after the start (the second). The second of these had lasted, but a worker holds its answer for 1 s, so nobody knew. By reading: a start that was sent within a second after the last answer of a worker that was down already, or that was carried out late, counted like a start. Ruled out: a change of the leader (the same one in all three traces). Change: `witnessed_crashes`, stored apart: the worker had answered within 100 ms before the start, or cut off a poll that it held after it, and hasn't answered since without the run. Three of these end a job instead of two; five lost workers do as before, so a task still starts five times at most. Workers hold polls for 0.5 s while they run a suspect that isn't proven. Evidence: crash_attribution_test, three of its four sections failed before, as did the case of the long poll.

--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -54,6 +54,8 @@
     /** Whether a worker was lost under the current run. The run may remain assigned to the worker's
      * next incarnation until it is certain that it doesn't start there. */
     bool lost = false;
+    /** Whether the worker answered after the start was sent, but didn't list the run. */
+    bool start_delayed = false;
     /** Worker of the run; valid in all phases except `idle` and `complete`. */
     worker_incarnation where;
     /** Latest checkpoint; empty if there is none. */
--- a/libs/scheduler/include/scheduler/loss_count.h
+++ b/libs/scheduler/include/scheduler/loss_count.h
@@ -10,13 +10,16 @@
     std::uint32_t crashes = 0;
     /** Crashes right after a start of the task for which no other run is a likelier cause. */
     std::uint32_t start_crashes = 0;
+    /** Those of `start_crashes` whose workers were up when the start was sent. The others may have
+     * been down already, so that the run never started. */
+    std::uint32_t witnessed_crashes = 0;
     /** Workers that fell silent under the task and may have crashed. */
     std::uint32_t unresolved = 0;
 };
 
-/** Crashes right after a start, the last one attributed to the task's job alone, after which the
- * job is given up. */
-inline constexpr std::uint32_t max_start_crashes = 2;
+/** Witnessed crashes, the last one attributed to the task's job alone, after which the job is given
+ * up. */
+inline constexpr std::uint32_t max_witnessed_crashes = 3;
 /**
  * Lost workers after which a task is not started again, whatever the cause of the losses.
  * Bystanders seldom reach it: their runs are kept apart from other suspects.
--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -72,6 +72,8 @@
     std::uint32_t run = 0;
     /** Whether the run had lasted for the probation time. */
     bool proven = false;
+    /** Whether the worker was up when the run's start was sent, as far as is known. */
+    bool witnessed = false;
 };
 
 struct worker {
@@ -90,7 +92,12 @@
     bool poll_outstanding = false;
     std::uint32_t failed_polls = 0;
     time_ms poll_sent_at_ms = 0;
+    /** Time for which the worker may hold back the answer to the latest poll. */
+    time_ms poll_wait_ms = 0;
     time_ms answered_at_ms = 0;
+    /** Monotonic time at which the worker last cut off a poll that it had received; 0 if it never
+     * did. It was up until then. */
+    time_ms disconnected_at_ms = 0;
     /** Latest monotonic time at which the current incarnation is known to have been running. */
     time_ms alive_at_ms = 0;
     /**
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -138,6 +138,7 @@
         j.push_back(t.losses.crashes);
         j.push_back(t.losses.start_crashes);
         j.push_back(t.losses.unresolved);
+        j.push_back(t.losses.witnessed_crashes);
     }
     return j;
 }
@@ -161,6 +162,9 @@
         read(j.at(6), t.losses.start_crashes);
         read(j.at(7), t.losses.unresolved);
     }
+    if (j.size() > 8) {
+        read(j.at(8), t.losses.witnessed_crashes);
+    }
     return t;
 }
 
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -188,6 +188,7 @@
     t.confirmed_at_ms = 0;
     t.proven = false;
     t.lost = false;
+    t.start_delayed = false;
     t.start_allowed = false;
     ref.owner->started = true;
     ctx.state.workers.at(where.id).assigned.insert(id);
@@ -221,9 +222,13 @@
     }
 }
 
+bool answered_just_before(const worker& w, time_ms at_ms) {
+    return at_ms - w.answered_at_ms <= fresh_answer_ms;
+}
+
 bool awaits_answer(const task& t, const worker& w, time_ms now_ms) {
     return t.phase == task_phase::placed && is_suspect(t.losses) &&
-           now_ms - w.answered_at_ms > fresh_answer_ms;
+           !answered_just_before(w, now_ms);
 }
 
 void send_allowed_starts(reduce_context& ctx, worker& w) {
--- a/libs/scheduler/src/lifecycle.h
+++ b/libs/scheduler/src/lifecycle.h
@@ -45,6 +45,9 @@
 /** Releases the tasks that are placed on a worker and whose starts were not sent. */
 void release_placed_tasks(reduce_context& ctx, worker& w, std::string_view reason);
 
+/** Returns whether the last answer of a worker is from right before a monotonic time, or later. */
+[[nodiscard]] bool answered_just_before(const worker& w, time_ms at_ms);
+
 /**
  * Returns whether a task under suspicion of crashing workers waits until its worker answers a poll.
  * Otherwise its start might be sent to a worker that is down already, and be blamed for that.
--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -13,6 +13,8 @@
 constexpr time_ms silent_worker_limit_ms = 20'000;
 /** A worker that answered this long before a start is taken to have been up then. */
 constexpr time_ms recent_answer_ms = 1000;
+/** A worker that is down refuses connections within this time. */
+constexpr time_ms connection_refusal_ms = 100;
 /** A long-running task that has lasted this long is no longer suspect. */
 constexpr time_ms stable_run_ms = 30'000;
 
@@ -52,12 +54,16 @@
         if (ref.spec->long_running && observed_ms >= stable_run_ms) {
             t.losses = {};
         }
-        runs.push_back({id, t.run, t.proven || unknown});
+        const bool was_up =
+            answered_just_before(w, t.started_at_ms) || w.disconnected_at_ms >= t.started_at_ms;
+        const bool witnessed = !unknown && !t.start_delayed && was_up;
+        runs.push_back({id, t.run, t.proven || unknown, witnessed});
         log_decision(ctx, "run_lost",
                      describe_task(id, t.run) + " " + source +
                          " observed_ms=" + std::to_string(observed_ms) +
                          " crashes=" + std::to_string(t.losses.crashes) +
-                         " start_crashes=" + std::to_string(t.losses.start_crashes));
+                         " start_crashes=" + std::to_string(t.losses.start_crashes) +
+                         " witnessed=" + std::to_string(witnessed ? 1 : 0));
     }
     if (!runs.empty()) {
         log_decision(ctx, "worker_runs_lost",
@@ -94,7 +100,7 @@
 
 bool is_hopeless(const loss_count& losses, bool conclusive) {
     return losses.crashes >= max_lost_workers ||
-           (conclusive && losses.start_crashes >= max_start_crashes);
+           (conclusive && losses.witnessed_crashes >= max_witnessed_crashes);
 }
 
 /** Gives up the jobs of those tasks that have lost too many workers, whatever the cause. */
@@ -135,6 +141,7 @@
         loss_count& losses = ref.item->losses;
         ++losses.crashes;
         losses.start_crashes += cause ? 1 : 0;
+        losses.witnessed_crashes += cause && runs[i].witnessed ? 1 : 0;
         ref.item->lost_at_ms = ctx.now.monotonic_ms;
         mark_losses_changed(ctx, ref);
         if (is_hopeless(losses, cause && attribution.conclusive)) {
@@ -144,6 +151,14 @@
     return hopeless;
 }
 
+void note_failed_poll(worker& w, order_failure reason, time_ms now_ms) {
+    const time_ms open_for_ms = now_ms - w.poll_sent_at_ms;
+    if (reason == order_failure::no_answer && open_for_ms > connection_refusal_ms &&
+        open_for_ms < w.poll_wait_ms) {
+        w.disconnected_at_ms = now_ms;
+    }
+}
+
 void give_up_jobs(reduce_context& ctx, const std::vector<task_id>& tasks) {
     for (const auto& id : tasks) {
         const task_ref ref = find_task(ctx.state, id);
@@ -155,7 +170,8 @@
         log_decision(ctx, "job_given_up",
                      describe_task(id, ref.item->run) +
                          " reason=crashes_workers crashes=" + std::to_string(losses.crashes) +
-                         " start_crashes=" + std::to_string(losses.start_crashes));
+                         " start_crashes=" + std::to_string(losses.start_crashes) +
+                         " witnessed_crashes=" + std::to_string(losses.witnessed_crashes));
         ref.owner->failed = true;
         end_job(ctx, *ref.owner);
     }
--- a/libs/scheduler/src/worker_loss.h
+++ b/libs/scheduler/src/worker_loss.h
@@ -16,14 +16,20 @@
 
 /**
  * Counts the crash of a worker for its runs, those that were released before because the worker was
- * silent included. A worker that drains has left instead. Call it while the runs are still assigned
- * and pass the result to `give_up_jobs` once they are released.
+ * silent included. A draining worker that was up until it could leave has left instead. Call it
+ * while the runs are still assigned and pass the result to `give_up_jobs` once they are released.
  *
  * Returns the tasks that must not be started again.
  */
 [[nodiscard]] std::vector<task_id> count_worker_crash(reduce_context& ctx, worker& w,
                                                       loss_evidence evidence);
 
+/**
+ * Records what a failed poll tells about the time until which the worker was up. Call it before
+ * `failed_polls` is increased.
+ */
+void note_failed_poll(worker& w, order_failure reason, time_ms now_ms);
+
 /** Ends the jobs of these tasks as failed, except for tasks with a run that has proven itself. */
 void give_up_jobs(reduce_context& ctx, const std::vector<task_id>& tasks);
 
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -40,6 +40,27 @@
 /** Number of times that a start is sent; after that, the poll answers of the worker decide. */
 constexpr std::uint32_t max_start_attempts = 3;
 
+/**
+ * Returns for how long a worker may hold back its answer to a poll. A suspect's run is observed
+ * more closely, so that a crash after its probation isn't taken for a crash at its start.
+ */
+time_ms poll_wait(reduce_context& ctx, const worker& w) {
+    const bool busy = !w.assigned.empty() || !w.orphaned_runs.empty();
+    if (!w.verified || w.failed_polls > 0 || !busy) {
+        return 0;
+    }
+    time_ms wait = busy_poll_wait_ms;
+    for (const auto& id : w.assigned) {
+        const task_ref ref = find_task(ctx.state, id);
+        if (!ref || ref.item->proven || !is_suspect(ref.item->losses)) {
+            continue;
+        }
+        wait = awaits_answer(*ref.item, w, ctx.now.monotonic_ms) ? 0
+                                                                 : std::min(wait, run_probation_ms);
+    }
+    return wait;
+}
+
 void poll(reduce_context& ctx, worker& w) {
     const time_ms now = ctx.now.monotonic_ms;
     const bool busy = !w.assigned.empty() || !w.orphaned_runs.empty();
@@ -51,16 +72,11 @@
         lease_end = worker_clock(w, now) + granted_lease(ctx.state.limits);
         grant_lease(w, lease_end);
     }
-    const bool answer_awaited =
-        std::any_of(w.assigned.begin(), w.assigned.end(), [&](const task_id& id) {
-            const task_ref ref = find_task(ctx.state, id);
-            return ref && awaits_answer(*ref.item, w, now);
-        });
-    const bool may_wait = w.verified && w.failed_polls == 0 && busy && !answer_awaited;
     w.poll_outstanding = true;
     w.poll_sent_at_ms = now;
+    w.poll_wait_ms = poll_wait(ctx, w);
     ctx.out.emplace_back(send_poll{w.report.incarnation, w.report.address, lease_end,
-                                   w.stored_sequence, may_wait ? busy_poll_wait_ms : 0});
+                                   w.stored_sequence, w.poll_wait_ms});
 }
 
 time_ms idle_interval_ms(std::size_t workers) {
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -170,7 +170,8 @@
 void reconcile_unlisted(reduce_context& ctx, const task_id& id, const task_ref& ref,
                         const poll_answered& answer) {
     task& t = *ref.item;
-    const bool after_order = answer.sent_at_ms > t.ordered_at_ms;
+    const bool after_order = t.phase != task_phase::placed && answer.sent_at_ms > t.ordered_at_ms;
+    t.start_delayed = t.start_delayed || after_order;
     switch (t.phase) {
     case task_phase::unverified: release_task(ctx, id, ref, "unknown_to_worker"); return;
     case task_phase::running:
@@ -329,6 +330,7 @@
         ctx.out.emplace_back(leadership_lost{});
         return;
     }
+    note_failed_poll(w, failure.reason, ctx.now.monotonic_ms);
     if (w.failed_polls++ == 0) {
         log_decision(ctx, "worker_unreachable", "worker=" + failure.worker);
     }
