A draining worker that is lost before it may leave has crashed

Cause, by the trace: the task crashed its second worker; that was told to drain while it was down, and when it came back the loss was taken for its leaving, which counts nothing. Change: a loss is the announced leaving only if the worker was up until the earliest time at which it could leave; the first failed poll tells when it no longer was. Evidence: crash_attribution_test, two of three sections failed before.

--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -91,6 +91,8 @@
     bool verified = false;
     bool poll_outstanding = false;
     std::uint32_t failed_polls = 0;
+    /** Monotonic time of the first of `failed_polls`. */
+    time_ms unreachable_at_ms = 0;
     time_ms poll_sent_at_ms = 0;
     /** Time for which the worker may hold back the answer to the latest poll. */
     time_ms poll_wait_ms = 0;
--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -32,6 +32,12 @@
     return t.confirmed_at_ms == 0 ? 0 : std::max<time_ms>(0, w.answered_at_ms - t.confirmed_at_ms);
 }
 
+/** Returns whether a draining worker may have left as announced, rather than crashed. */
+bool may_have_left(const worker& w, time_ms now_ms) {
+    const time_ms lost_at_ms = w.failed_polls > 0 ? w.unreachable_at_ms : now_ms;
+    return w.report.draining && lost_at_ms >= w.leaves_at_ms;
+}
+
 /** Returns the runs of the worker that may have started, and logs each of them. */
 std::vector<lost_run> collect_lost_runs(reduce_context& ctx, const worker& w,
                                         loss_evidence evidence) {
@@ -116,7 +122,7 @@
 
 std::vector<task_id> count_worker_crash(reduce_context& ctx, worker& w, loss_evidence evidence) {
     auto runs = collect_lost_runs(ctx, w, evidence);
-    if (w.report.draining) {
+    if (may_have_left(w, ctx.now.monotonic_ms)) {
         forget_lost_runs(ctx, w);
         return {};
     }
@@ -157,6 +163,9 @@
         open_for_ms < w.poll_wait_ms) {
         w.disconnected_at_ms = now_ms;
     }
+    if (w.failed_polls == 0) {
+        w.unreachable_at_ms = now_ms;
+    }
 }
 
 void give_up_jobs(reduce_context& ctx, const std::vector<task_id>& tasks) {
@@ -179,7 +188,7 @@
 
 void remember_lost_runs(reduce_context& ctx, worker& w) {
     auto runs = collect_lost_runs(ctx, w, loss_evidence::silent);
-    if (w.report.draining) {
+    if (may_have_left(w, ctx.now.monotonic_ms)) {
         return;
     }
     for (const auto& run : runs) {
--- a/libs/scheduler/tests/crash_attribution_test.cpp
+++ b/libs/scheduler/tests/crash_attribution_test.cpp
@@ -103,3 +103,31 @@
     CHECK(f.first_task("suspect").losses.crashes == 2);
     CHECK_FALSE(f.state.jobs.at("suspect")->failed);
 }
+
+// Found by the soak, seed 8047: the worker crashed, was told to drain and came back.
+TEST_CASE("a draining worker that is lost before it may leave has crashed") {
+    constexpr time_ms drain_ms = 5000;
+    coordinator_fixture f;
+    f.add_worker("w1");
+    REQUIRE(f.run_job(f.make_job("a", 1, {1000, 1000, 1})));
+    auto report = f.make_report("w1");
+    report.draining = true;
+    report.remaining_ms = drain_ms;
+    f.send(worker_reported{report});
+    std::uint32_t crashes = 0;
+    SECTION("lost before") {
+        f.send(poll_failed{"w1", order_failure::other_incarnation});
+        crashes = 1;
+    }
+    SECTION("silent before, replaced after") {
+        f.send(poll_failed{"w1", order_failure::no_answer});
+        f.now.monotonic_ms += drain_ms;
+        f.send(poll_failed{"w1", order_failure::other_incarnation});
+        crashes = 1;
+    }
+    SECTION("lost after") {
+        f.now.monotonic_ms += drain_ms;
+        f.send(poll_failed{"w1", order_failure::other_incarnation});
+    }
+    CHECK(f.first_task("a").losses.crashes == crashes);
+}
