--- a/libs/logs/src/request_timeline.cpp
+++ b/libs/logs/src/request_timeline.cpp
@@ -105,6 +105,8 @@
     std::uint32_t lost_runs = 0;
     std::uint32_t failed_runs = 0;
     std::uint32_t leader_starts = 0;
+    std::uint32_t runs_lost_with_worker = 0;
+    std::set<std::string> lost_workers;
     std::set<std::string> stop_reasons;
     std::set<std::string> loss_reasons;
     std::set<std::string> failing_workers;
@@ -170,6 +172,13 @@
         state.add_finding("ended " + std::string(line.field("state")) + " after " +
                           std::string(line.field("age_ms")) + " ms");
         state.concluded = true;
+    } else if (line.event == "run_lost") {
+        ++state.runs_lost_with_worker;
+        state.lost_workers.emplace(line.field("worker"));
+    } else if (line.event == "job_given_up") {
+        state.add_finding("given up: workers crashed " + std::string(line.field("crashes")) +
+                          " times under its task " + std::string(line.field("task")) +
+                          "; look into what that task runs, not into the workers");
     } else if (line.event == "progress_unreadable") {
         state.add_finding(
             "this release can't read the stored progress, so the job is kept but not started: run "
@@ -200,6 +209,11 @@
         state.add_finding("lost: " + format_count(state.lost_runs, "run") + " (" +
                           join(state.loss_reasons) + ")");
     }
+    if (state.runs_lost_with_worker > 0) {
+        state.add_finding(
+            "lost with their worker: " + format_count(state.runs_lost_with_worker, "run") +
+            ", on " + join(state.lost_workers));
+    }
     if (state.failed_runs > 0) {
         state.add_finding("failed: " + format_count(state.failed_runs, "run") + ", on " +
                           join(state.failing_workers) +
--- a/libs/logs/tests/request_timeline_test.cpp
+++ b/libs/logs/tests/request_timeline_test.cpp
@@ -100,6 +100,20 @@
     CHECK(has_finding(timeline, "became leader meanwhile: 1 host"));
 }
 
+TEST_CASE("a job that was given up is explained by its task and the workers lost under it") {
+    const auto lines = parse_all({
+        "ts=1000 node=e1 event=run_lost request=a task=0.0.2 run=1 worker=w1 evidence=replaced",
+        "ts=2000 node=e1 event=run_lost request=a task=0.0.2 run=2 worker=w2 evidence=restarted",
+        "ts=2000 node=e1 event=job_given_up request=a task=0.0.2 run=2 reason=crashes_workers "
+        "crashes=2 start_crashes=2 witnessed_crashes=2",
+        "ts=2001 node=e1 event=job_ended request=a state=failed age_ms=1500",
+    });
+    const auto timeline = build_timeline(lines, "a");
+    CHECK(has_finding(timeline, "workers crashed 2 times under its task 0.0.2"));
+    CHECK(has_finding(timeline, "lost with their worker: 2 runs, on w1, w2"));
+    CHECK(has_finding(timeline, "ended failed"));
+}
+
 TEST_CASE("the timeline of an unknown request says what to check") {
     const auto lines = parse_all({"ts=1000 node=e1 event=leader_started epoch=1"});
     const auto timeline = build_timeline(lines, "a");
