--- a/tests/soak/mutants.sh
+++ b/tests/soak/mutants.sh
@@ -15,7 +15,7 @@
 LIMIT|libs/scheduler/src/capacity.cpp|/capacity.free -= booked_resources(\*ref.spec);/d
 ORDER|libs/scheduler/src/task_groups.cpp|s/if (!dependencies_complete(j.spec, o, s)) {/if (false) {/
 BUDGET|libs/scheduler/src/lifecycle.cpp|s/failures >= ref.owner->spec.policy.max_attempts/failures >= ref.owner->spec.policy.max_attempts + 5/
-BUDGET|libs/scheduler/src/worker_loss.cpp|s/++losses.crashes;//; s/losses.start_crashes += cause ? 1 : 0;//
+BUDGET|libs/scheduler/src/worker_loss.cpp|s/++losses.crashes;//; s/losses.start_crashes += cause ? 1 : 0;//; /losses.witnessed_crashes += /d
 UNASKED|libs/scheduler/src/task_groups.cpp|s/ && !found->second->ended() &&$/ \&\&/
 REFUSED|libs/node/src/caller_api.cpp|s/open->maybe_stored = open->maybe_stored .*/open->maybe_stored = false;/
 MIXED|libs/scheduler/src/job.cpp|/bool occurrence::complete/,/^}/s/all_of/any_of/
