A worker that accepted a start was up when it crashed under the run

A worker that was idle holds no poll, so the crash of a task that it had accepted counted as not witnessed, and the task took five workers down instead of three. Change: an accepted start is a witness. Test: a section of crash_attribution_test, failed before.

--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -62,7 +62,7 @@
         }
         const bool was_up =
             answered_just_before(w, t.started_at_ms) || w.disconnected_at_ms >= t.started_at_ms;
-        const bool witnessed = !unknown && !t.start_delayed && was_up;
+        const bool witnessed = !unknown && (t.confirmed_at_ms != 0 || (!t.start_delayed && was_up));
         runs.push_back({id, t.run, t.proven || unknown, witnessed});
         log_decision(ctx, "run_lost",
                      describe_task(id, t.run) + " " + source +
--- a/libs/scheduler/tests/crash_attribution_test.cpp
+++ b/libs/scheduler/tests/crash_attribution_test.cpp
@@ -55,6 +55,10 @@
         f.send(poll_failed{"w1", order_failure::no_answer});
         counts = true;
     }
+    SECTION("it accepted the start") {
+        f.accept_start({{"w1", 1}, "", {"a", 0, 0, 0}, 1, "", "", 0});
+        counts = true;
+    }
     SECTION("it left the poll without an answer") {
         f.advance(1000);
         f.send(poll_failed{"w1", order_failure::no_answer});
