--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -95,14 +95,9 @@
 
 void count_failure(reduce_context& ctx, const task_ref& ref, const ended_run& end) {
     std::uint32_t& failures = ref.spec->gang ? ref.progress->gang_failures : ref.item->failures;
-    const std::string& worker = ref.item->where.id;
-    // A task that has failed elsewhere too says little about this worker.
-    const bool failed_elsewhere = failures > 0 && ref.item->failed_on != worker;
     ++failures;
-    ref.item->failed_on = worker;
-    if (!failed_elsewhere) {
-        record_failed_job(ctx, worker, end.task.job);
-    }
+    ref.item->failed_on = ref.item->where.id;
+    record_failed_job(ctx, ref.item->where.id, end.task.job);
     if (failures >= ref.owner->spec.policy.max_attempts && !ref.spec->long_running) {
         ref.owner->failed = true;
     }
--- a/libs/scheduler/src/run_supervision.cpp
+++ b/libs/scheduler/src/run_supervision.cpp
@@ -40,8 +40,7 @@
 /**
  * Stops stalled tasks, so that they start on another worker.
  *
- * Handles workers that accept tasks and keep their lease but make no progress. A task that stalls
- * or fails wherever it runs doesn't take one worker after another out of use.
+ * Handles workers that accept tasks and keep their lease but make no progress.
  */
 void stop_stalled_tasks(reduce_context& ctx, worker& w) {
     if (w.failed_polls > 0) {
@@ -62,11 +61,8 @@
                      describe_task(name, ref.item->run) + " worker=" + id +
                          " percent=" + std::to_string(ref.item->percent) +
                          " still_for_ms=" + std::to_string(now - ref.item->progressed_at_ms));
-        const bool failed_elsewhere = !ref.item->failed_on.empty() && ref.item->failed_on != id;
-        if (!failed_elsewhere) {
-            quarantine_worker(ctx, w, stall_quarantine_ms);
-        }
         ref.item->failed_on = id;
+        quarantine_worker(ctx, w, stall_quarantine_ms);
         stop_task(ctx, name, ref, "stalled");
     }
 }
