A run at 100 percent is stopped as stalled only with other evidence of a stall

Cause: progress reaches 100 percent at the usual run time and stays there until the task ends. Change: stall_evidence judges progress: below 100 percent as before; at 100 percent a run is stalled if another run on its worker is stalled below 100, or after 30 s, which the learned run times are to replace.

--- a/libs/scheduler/src/run_supervision.cpp
+++ b/libs/scheduler/src/run_supervision.cpp
@@ -1,5 +1,7 @@
 #include "run_supervision.h"
 
+#include "stall_evidence.h"
+
 #include <algorithm>
 
 namespace fulmarworks::scheduler {
@@ -12,8 +14,6 @@
  * estimate.
  */
 constexpr time_ms evacuation_margin_ms = 500;
-/** A task whose progress does not change for this long is stalled, regardless of its estimate. */
-constexpr time_ms stall_limit_ms = 3000;
 /** Time for which a worker gets no new tasks after a task stalled on it. */
 constexpr time_ms stall_quarantine_ms = 6000;
 
@@ -37,6 +37,27 @@
     return picked;
 }
 
+progress_observation observe_progress(const task& t, time_ms now_ms) {
+    return {t.percent, now_ms - t.progressed_at_ms};
+}
+
+/** Returns the stalled runs of a worker that answers its polls. */
+std::vector<task_id> find_stalled_runs(reduce_context& ctx, const worker& w) {
+    const time_ms now = ctx.now.monotonic_ms;
+    const auto is_stalled = [&](const task_ref& ref, bool worker_has_stalled_run) {
+        progress_observation o = observe_progress(*ref.item, now);
+        o.worker_has_stalled_run = worker_has_stalled_run;
+        return w.answered_at_ms >= ref.item->progressed_at_ms &&
+               judge_progress(o) == progress_verdict::stalled;
+    };
+    const bool stalled_below_complete =
+        !pick_running(ctx, w, [&](const task_ref& ref) {
+             return ref.item->percent < complete_percent && is_stalled(ref, false);
+         }).empty();
+    return pick_running(
+        ctx, w, [&](const task_ref& ref) { return is_stalled(ref, stalled_below_complete); });
+}
+
 /**
  * Stops stalled tasks, so that they start on another worker.
  *
@@ -48,11 +69,7 @@
     }
     const time_ms now = ctx.now.monotonic_ms;
     const std::string& id = w.report.incarnation.id;
-    const auto stalled = pick_running(ctx, w, [&](const task_ref& ref) {
-        return now - ref.item->progressed_at_ms >= stall_limit_ms &&
-               w.answered_at_ms >= ref.item->progressed_at_ms;
-    });
-    for (const auto& name : stalled) {
+    for (const auto& name : find_stalled_runs(ctx, w)) {
         const task_ref ref = find_task(ctx.state, name);
         if (ref.item->phase != task_phase::running) {
             continue; // stopped together with its gang
