A task doesn't run again when its earlier run's end is read between the next placement and the start

Change: such a placement is withdrawn and the task completes; a draining worker is polled while its ends are being stored.

--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -97,8 +97,10 @@
     if (!w.verified) {
         return true;
     }
-    if (w.applied_sequence > w.stored_sequence) {
-        return false; // polled again once the effect of the ended runs is stored
+    // A worker whose ended runs are being stored is polled again after that. A draining one may
+    // leave before, and ends that are not read by then are lost and their tasks run again.
+    if (w.applied_sequence > w.stored_sequence && !w.report.draining) {
+        return false;
     }
     const bool busy = !w.assigned.empty() || !w.orphaned_runs.empty();
     return busy || now_ms - w.answered_at_ms >= idle_interval;
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -1,5 +1,6 @@
 #include "worker_sync.h"
 
+#include "late_end.h"
 #include "lease.h"
 #include "worker_loss.h"
 
@@ -84,14 +85,6 @@
            ref.item->where == w.report.incarnation;
 }
 
-/**
- * Returns whether a run completed after its task was released and before the next run was placed.
- */
-bool is_late_success(const task_ref& ref, const ended_run& end) {
-    return ref && ref.item->phase == task_phase::idle && ref.item->run == end.run &&
-           end.reason == end_reason::done && !ref.owner->ended() && !ref.spec->gang;
-}
-
 void apply_ends(reduce_context& ctx, worker& w, const std::vector<ended_run>& ends) {
     for (const auto& end : ends) {
         if (end.sequence <= w.applied_sequence) {
@@ -101,6 +94,7 @@
         std::erase_if(w.orphaned_runs,
                       [&](const auto& s) { return s.task == end.task && s.run == end.run; });
         const task_ref ref = find_task(ctx.state, end.task);
+        withdraw_needless_placement(ctx, ref, end);
         if (is_current(ref, w, end.run) || is_late_success(ref, end)) {
             apply_end(ctx, ref, end);
         }
