Workers are polled while their ends are being stored, and only answered polls are evidence of a stall

Cause: a worker with an end that was not stored yet was not polled. Class: a worker that is only silent, or that we don't ask, has its work started again. Change: such a worker is polled every 500 ms (100 ms while it drains), which renews its lease; unchanged progress is counted up to the worker's last answer.

--- a/libs/scheduler/src/run_supervision.cpp
+++ b/libs/scheduler/src/run_supervision.cpp
@@ -37,18 +37,18 @@
     return picked;
 }
 
-progress_observation observe_progress(const task& t, time_ms now_ms) {
-    return {t.percent, now_ms - t.progressed_at_ms};
+/** Only answered polls show that the progress is unchanged: a worker that isn't polled for some
+ * time must not be taken for a stalled one. */
+progress_observation observe_progress(const worker& w, const task& t) {
+    return {t.percent, w.answered_at_ms - t.progressed_at_ms};
 }
 
 /** Returns the stalled runs of a worker that answers its polls. */
 std::vector<task_id> find_stalled_runs(reduce_context& ctx, const worker& w) {
-    const time_ms now = ctx.now.monotonic_ms;
     const auto is_stalled = [&](const task_ref& ref, bool worker_has_stalled_run) {
-        progress_observation o = observe_progress(*ref.item, now);
+        progress_observation o = observe_progress(w, *ref.item);
         o.worker_has_stalled_run = worker_has_stalled_run;
-        return w.answered_at_ms >= ref.item->progressed_at_ms &&
-               judge_progress(o) == progress_verdict::stalled;
+        return judge_progress(o) == progress_verdict::stalled;
     };
     const bool stalled_below_complete =
         !pick_running(ctx, w, [&](const task_ref& ref) {
@@ -67,7 +67,6 @@
     if (w.failed_polls > 0) {
         return;
     }
-    const time_ms now = ctx.now.monotonic_ms;
     const std::string& id = w.report.incarnation.id;
     for (const auto& name : find_stalled_runs(ctx, w)) {
         const task_ref ref = find_task(ctx.state, name);
@@ -76,8 +75,8 @@
         }
         log_decision(ctx, "task_stalled",
                      describe_task(name, ref.item->run) + " worker=" + id +
-                         " percent=" + std::to_string(ref.item->percent) +
-                         " still_for_ms=" + std::to_string(now - ref.item->progressed_at_ms));
+                         " percent=" + std::to_string(ref.item->percent) + " still_for_ms=" +
+                         std::to_string(w.answered_at_ms - ref.item->progressed_at_ms));
         ref.item->failed_on = id;
         quarantine_worker(ctx, w, stall_quarantine_ms);
         stop_task(ctx, name, ref, "stalled");
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -32,6 +32,17 @@
 /** The same for a worker that is neither in the registry nor has any assignment. It is polled only
  * to find out what became of its runs. */
 constexpr time_ms unlisted_poll_retry_delay_ms = 1000;
+/**
+ * Interval between polls of a worker while the effect of its ended runs is being stored. It answers
+ * them at once, because ends are listed, so they can't be held back. Without them its lease would
+ * expire in an outage of the store.
+ */
+constexpr time_ms unstored_ends_interval_ms = 500;
+/**
+ * The same for a draining worker. It may leave before the ends are stored; runs that end until then
+ * are run again unless their ends are read.
+ */
+constexpr time_ms unstored_ends_draining_interval_ms = 100;
 /** Interval between checks for stalled runs and unanswered orders. */
 constexpr time_ms inspection_interval_ms = 100;
 /** Time beyond the stop timeout within which the worker lists the end of a run whose stop it has
@@ -97,10 +108,9 @@
     if (!w.verified) {
         return true;
     }
-    // A worker whose ended runs are being stored is polled again after that. A draining one may
-    // leave before, and ends that are not read by then are lost and their tasks run again.
-    if (w.applied_sequence > w.stored_sequence && !w.report.draining) {
-        return false;
+    if (w.applied_sequence > w.stored_sequence) {
+        return now_ms - w.poll_sent_at_ms >=
+               (w.report.draining ? unstored_ends_draining_interval_ms : unstored_ends_interval_ms);
     }
     const bool busy = !w.assigned.empty() || !w.orphaned_runs.empty();
     return busy || now_ms - w.answered_at_ms >= idle_interval;
