--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "run_times/run_time_model.h"
 #include "scheduler/capacity_index.h"
 #include "scheduler/effect.h"
 #include "scheduler/event.h"
@@ -76,6 +77,8 @@
      */
     std::map<std::string, std::int64_t> urgent_demand;
     urgent_arrivals recent_urgent_jobs;
+    /** Run times of finished runs; empty unless `settings::learned_run_times`. */
+    run_times::run_time_model run_times;
 
     /**
      * Jobs whose stored progress can't be decoded. They are reported as running and never started.
--- a/libs/scheduler/include/scheduler/settings.h
+++ b/libs/scheduler/include/scheduler/settings.h
@@ -19,6 +19,8 @@
     double remote_factor = 3;
     /** Time for which the state of an ended job can be queried. */
     time_ms status_retention_ms = 120000;
+    /** Whether decisions use run times learned from finished runs instead of callers' estimates. */
+    bool learned_run_times = true;
 };
 
 } // namespace fulmarworks::scheduler
