node: store of the learned run times in the platform's store

Cause: a new leader starts without the run times that earlier ones learned (docs/design/uneven-load.md, part 2).

--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -4,11 +4,12 @@
 #include "job_loader.h"
 #include "platform/documents.h"
 #include "progress_writer.h"
+#include "run_time_store.h"
 #include "scheduler/coordinator.h"
 #include "start_sender.h"
+#include "submission_deletion.h"
 #include "topic_follower.h"
 
-#include <map>
 #include <unordered_map>
 
 namespace fulmarworks::node {
@@ -20,9 +21,6 @@
 /** Polling interval of the worker registry. The registry changes with every heartbeat, so reading
  * the changes in batches saves calls. */
 constexpr time_ms registry_interval_ms = 300;
-/** Timeout of the append that deletes the submissions of ended jobs. It is not urgent: the
- * coordinator requests it again if it fails. */
-constexpr time_ms delete_submissions_timeout_ms = 1000;
 
 scheduler::job_state reported_state(const scheduler::job& j) {
     if (scheduler::is_final(j.visible_state)) {
@@ -54,6 +52,8 @@
     std::optional<scheduler::coordinator_state> state;
     std::unique_ptr<progress_writer> writer;
     std::unique_ptr<start_sender> starts;
+    /** Null unless run times are learned. */
+    std::unique_ptr<run_time_store> learned_run_times;
 
     std::uint64_t next_request = 1;
     std::unordered_map<std::uint64_t, std::function<void(const job_answer&)>> pending_cancels;
@@ -195,6 +195,11 @@
             submission_read(std::move(spec));
         }
         handle(scheduler::tick{});
+        if (context.limits.learned_run_times) {
+            learned_run_times = std::make_unique<run_time_store>(
+                run_time_store_context{context.loop, context.store, context.log, context.counters,
+                                       epoch, state->run_times});
+        }
     }
 
     void apply_requests() {
@@ -239,30 +244,10 @@
     }
 
     void execute(const scheduler::delete_submissions& ended) {
-        std::map<std::uint32_t, std::vector<std::string>> by_partition;
-        for (const auto& id : ended.jobs) {
-            by_partition[context.store.submission_partition(id)].push_back(id);
-        }
-        for (auto& [partition, ids] : by_partition) {
-            delete_submissions_of(partition, std::move(ids));
-        }
-    }
-
-    void delete_submissions_of(std::uint32_t partition, std::vector<std::string> ids) {
-        platform::append_request request;
-        request.log_topic = platform::topic::submissions;
-        request.partition = partition;
-        request.timeout_ms = delete_submissions_timeout_ms;
-        for (const auto& id : ids) {
-            request.records.push_back({id, ""});
-        }
-        context.store.append(
-            request,
-            guarded([ids = std::move(ids)](impl& i, const platform::append_outcome& outcome) {
-                if (outcome.status == platform::store_status::ok) {
-                    i.handle(scheduler::submissions_deleted{ids});
-                }
-            }));
+        delete_submissions(context.store, ended.jobs,
+                           guarded([](impl& i, const std::vector<std::string>& ids) {
+                               i.handle(scheduler::submissions_deleted{ids});
+                           }));
     }
 
     void execute(scheduler::send_start& order) {
