run_times: fuzz the stored values, test the settings key and the leader's start

Cause: stored values are read from outside the process; a malformed age could overflow later differences of times. Result: test_run_times, test_node, test_soak and fuzz_decoders pass.

--- a/libs/run_times/src/class_codec.cpp
+++ b/libs/run_times/src/class_codec.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 #include "base/json.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace fulmarworks::run_times {
@@ -18,6 +19,8 @@
 constexpr double stored_weight_unit = 1e-3;
 /** Limits the total weight, so that sums stay exact enough; reached by no real rate of runs. */
 constexpr double max_bucket_weight = 1e6;
+/** Bounds differences of times, which must not overflow. A class this old has no weight. */
+constexpr time_ms max_age_ms = 366 * 24 * milliseconds_per_hour;
 /** An encoded class takes at most 1500 bytes and its names. The limit also bounds the nesting depth
  * of a malformed value, which the decoder follows by recursion. */
 constexpr std::size_t max_value_bytes = 4096;
@@ -67,7 +70,7 @@
     key.account = fields[3].get<std::string>();
     key.accelerators = integer_from_json<std::uint32_t>(fields[4]);
     const auto age_ms = integer_from_json<time_ms>(fields[5]);
-    if (age_ms < 0 || !is_normal(key)) {
+    if (age_ms < 0 || age_ms > max_age_ms || !is_normal(key)) {
         return false;
     }
     c.weighed_at_ms = now_ms;
@@ -94,7 +97,7 @@
                          key.queue,
                          key.account,
                          key.accelerators,
-                         std::max<time_ms>(now_ms - c.last_sample_at_ms, 0),
+                         std::clamp<time_ms>(now_ms - c.last_sample_at_ms, 0, max_age_ms),
                          encode_weights(c.durations, factor),
                          encode_weights(c.ratios, factor)};
     encoded_class encoded{store_key(key), {}};
--- a/libs/run_times/tests/run_time_model_test.cpp
+++ b/libs/run_times/tests/run_time_model_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <cmath>
+#include <limits>
 #include <random>
 
 using namespace fulmarworks;
@@ -224,6 +225,7 @@
     CHECK_FALSE(with_field(2, 7));
     CHECK_FALSE(with_field(4, -1));
     CHECK_FALSE(with_field(5, -1000));
+    CHECK_FALSE(with_field(5, std::numeric_limits<time_ms>::max()));
     CHECK_FALSE(with_field(6, {84, 1000}));
     CHECK_FALSE(with_field(6, {10, 1000, 10, 1000}));
     CHECK_FALSE(with_field(6, {10}));
--- a/tests/fuzz/fuzz_decoders_test.cpp
+++ b/tests/fuzz/fuzz_decoders_test.cpp
@@ -200,6 +200,27 @@
                            {"store_address", "10.0.0.2:1"},
                            {"cpu_share", 0.25},
                            {"stop_grace_s", 6},
-                           {"configuration_bound_ms", 3000}};
+                           {"configuration_bound_ms", 3000},
+                           {"learned_run_times", false}};
     fuzz_text(settings, [](const std::string& text) { (void)node::parse_node_settings(text); });
 }
+
+TEST_CASE("damaged run times are rejected, or are restored into a model that can be used") {
+    const run_times::run_class kind{"queue", "account", 4};
+    run_times::run_time_model m;
+    for (int i = 1; i <= 20; ++i) {
+        m.add({kind, 1000, 500 * i, 1}, 0);
+    }
+    for (const auto& record : m.take_changed(3, 0)) {
+        fuzz_record(record.value, [&](const std::string& value) {
+            run_times::run_time_model restored;
+            if (restored.restore(record.key, value, 0)) {
+                const auto p = restored.predict(kind, 1000, 0);
+                CHECK(p.expected_ms <= p.long_run_ms);
+                CHECK(restored.expected_remaining_ms(kind, 1000, 5000, 0) >= 0);
+                restored.add({kind, 1000, 500, 1}, 1);
+                CHECK(restored.take_changed(3, 1).size() == 3);
+            }
+        });
+    }
+}
--- a/tests/soak/leader_test.cpp
+++ b/tests/soak/leader_test.cpp
@@ -150,3 +150,28 @@
     REQUIRE(f.loop.run_until([&] { return f.term->ready(); }, wait_limit_ms));
     CHECK(f.query_job().known);
 }
+
+// The first read of the run times comes after a second. A leader that waited for it, or for a store
+// that refuses it, would delay the starts of all jobs.
+TEST_CASE("a leader reads learned run times after it is ready, and only if they are in use") {
+    run_times::run_time_model earlier;
+    earlier.add({{"queue", "account", 1}, 0, 1000, 1}, boottime_now());
+    constexpr time_ms first_read_ms = 2000;
+    for (const bool learned : {true, false}) {
+        leader_fixture f;
+        for (const auto& r : earlier.take_changed(3, boottime_now())) {
+            f.store.put("keyed.run-times", r.key, r.value);
+        }
+        earlier.add({{"queue", "account", 1}, 0, 1000, 1}, boottime_now());
+        f.store.refuse_topic("keyed.run-times");
+        scheduler::settings limits;
+        limits.learned_run_times = learned;
+        f.start_leader(limits);
+        const auto loaded = [&] {
+            return f.counters.serialize().find("run_time_classes 3") != std::string::npos;
+        };
+        CHECK_FALSE(loaded());
+        f.store.refuse_topic("");
+        CHECK(f.loop.run_until(loaded, first_read_ms + 1000) == learned);
+    }
+}
