--- a/tests/fuzz/fuzz_decoders_test.cpp
+++ b/tests/fuzz/fuzz_decoders_test.cpp
@@ -1,12 +1,15 @@
+#include "config_check/check.h"
 #include "json_mutator.h"
 #include "leadership.h"
 #include "node/node_settings.h"
+#include "platform/configuration_check.h"
 #include "platform/documents.h"
 #include "platform/store_client.h"
 #include "platform/worker_client.h"
 #include "scheduler/codec.h"
 #include "scheduler/coordinator.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace fulmarworks;
@@ -179,6 +182,31 @@
     });
 }
 
+// Guards against a check that passes a document that entry hosts refuse, or the reverse.
+TEST_CASE("the check of a configuration reports errors of form exactly if entry hosts refuse it") {
+    const auto in_force = platform::read_configuration_document(configuration.dump());
+    std::size_t accepted = 0;
+    fuzz_text(configuration, [&](const std::string& text) {
+        const auto reading = platform::read_configuration_document(text);
+        const bool has_errors =
+            std::any_of(reading.form.begin(), reading.form.end(), [](const auto& f) {
+                return f.level == config_check::severity::error &&
+                       f.kind != config_check::finding_kind::duplicate_member;
+            });
+        const bool is_accepted = static_cast<bool>(platform::decode_configuration(text));
+        INFO(text);
+        REQUIRE(has_errors != is_accepted);
+        accepted += is_accepted ? 1 : 0;
+        for (const auto& f : merge(reading.form, check(reading.document, {8, 4000}))) {
+            REQUIRE_FALSE(platform::describe(f).problem.empty());
+        }
+        for (const auto& c : compare(in_force.document, reading.document).changes) {
+            REQUIRE_FALSE(platform::describe(c).empty());
+        }
+    });
+    CHECK(accepted > 100);
+}
+
 TEST_CASE("configurations, pages of the store, leases and settings are decoded or rejected") {
     fuzz_text(configuration,
               [](const std::string& text) { (void)platform::decode_configuration(text); });
