--- a/fulmarworks/client_commands.cpp
+++ b/fulmarworks/client_commands.cpp
@@ -104,8 +104,14 @@
 } // namespace
 
 exit_code run_check(const arguments& args) {
-    TCLAP::CmdLine command("Checks a whole configuration without publishing it.", ' ',
-                           program_version);
+    const bool of_platform = std::any_of(
+        args.begin(), args.end(), [](const auto& text) { return text.starts_with("--platform"); });
+    if (of_platform) {
+        return run_check_platform(args);
+    }
+    TCLAP::CmdLine command("Checks a whole configuration without publishing it; with --platform "
+                           "FILE, the platform's configuration document.",
+                           ' ', program_version);
     TCLAP::UnlabeledValueArg<std::string> file("config", "Configuration", true, "", "FILE",
                                                command);
     TCLAP::SwitchArg as_json("j", "json", "Print JSON", command);
--- a/fulmarworks/command_line.h
+++ b/fulmarworks/command_line.h
@@ -18,6 +18,9 @@
     refused = 3,
     unavailable = 4,
     unknown = 5,
+    // Of `check --platform` only.
+    check_warnings = 1,
+    check_errors = 2,
 };
 
 /** Arguments of one subcommand. */
@@ -51,6 +54,7 @@
 exit_code run_serve(const arguments& args);
 exit_code run_entry(const arguments& args);
 exit_code run_check(const arguments& args);
+exit_code run_check_platform(const arguments& args);
 exit_code run_publish(const arguments& args);
 exit_code run_submit(const arguments& args);
 exit_code run_status(const arguments& args);
--- a/tests/integration/integration_test.cpp
+++ b/tests/integration/integration_test.cpp
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
+#include <unistd.h>
 
 using namespace fulmarworks;
 
@@ -148,6 +150,44 @@
     CHECK(cluster.get(0, "/v1/configuration").value("version", 0) == 1);
 }
 
+TEST_CASE("check --platform tells sound documents, warnings and errors apart by its exit code") {
+    const std::string base = "/tmp/fulmarworks-check-" + std::to_string(::getpid());
+    const auto path = [&](const char* name) { return base + name; };
+    const auto write = [&](const char* name, const json& j) {
+        std::ofstream(path(name)) << j.dump();
+    };
+    const auto check = [&](std::vector<std::string> options) {
+        options.insert(options.begin(), {FULMARWORKS_BINARY, "check"});
+        return child_process(options, path(".out")).wait(10000).value_or(-1);
+    };
+    json document = {
+        {"version", 2},
+        {"routes",
+         {{{"name", "r"}, {"host", "a.example"}, {"pathPrefix", "/r/"}, {"service", "pool"}}}},
+        {"services", {{{"name", "pool"}}}},
+        {"tenants", {{{"name", "x"}, {"apiKeys", {"secret"}}, {"guaranteed", {{"gpu", 8}}}}}}};
+    write(".sound", document);
+    CHECK(check({"--platform", path(".sound"), "--accelerators", "8"}) == 0);
+    CHECK(check({"--platform", path(".sound"), "--accelerators", "7"}) == 1);
+    CHECK(check({"--platform", path(".sound"), "--against", path(".sound")}) == 0);
+    document["version"] = 1;
+    write(".older", document);
+    CHECK(check({"--platform", path(".older"), "--against", path(".sound")}) == 2);
+    CHECK(check({"--json", "--platform", path(".sound"), "--against", path(".older")}) == 0);
+    document.erase("routes");
+    write(".faulty", document);
+    CHECK(check({"--platform", path(".faulty"), "--against", path(".sound")}) == 2);
+    CHECK(check({"--platform", path(".sound"), "--against", path(".faulty")}) == 2);
+    CHECK(check({"--platform", path(".missing")}) == 2);
+    std::ifstream output(path(".out"));
+    const std::string shown(std::istreambuf_iterator<char>(output), {});
+    CHECK(shown.find("error routes: is missing") != std::string::npos);
+    CHECK(shown.find("secret") == std::string::npos);
+    for (const char* name : {".sound", ".older", ".faulty", ".out"}) {
+        std::remove(path(name).c_str());
+    }
+}
+
 TEST_CASE("every documented command returns its exit code") {
     test_cluster cluster;
     REQUIRE(cluster.publish());
