Learn the speeds of workers and use them for placement

Cause: on some deployments a quarter of the workers needs half the time of the others, and a gang runs as long as its slowest member.

Change: rates of progress are compared within a step, corrected by the learned speed of the other workers; classes are determined once a second. Gangs and tasks try sets of speed classes in turn, inside the existing searches. Without a classified worker there is one set, all speeds, as before. Setting learned_worker_speeds, log line worker_speed_class, gauges fast_workers and slow_workers.

--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -11,6 +11,7 @@
 #include "start_relay.h"
 #include "topic_follower.h"
 #include "traffic_report.h"
+#include "worker_speed_metrics.h"
 
 #include <algorithm>
 
@@ -233,6 +234,7 @@
             counters.set("leader", is_leader(elector->state()) ? 1 : 0);
             counters.set("store_calls", static_cast<double>(store.calls_sent()));
             export_traffic(http.traffic(), counters);
+            export_worker_speeds(term ? term->state() : nullptr, counters);
             http_response response;
             response.content_type = metrics_content_type;
             response.body = counters.serialize();
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -390,4 +390,8 @@
     return ready() ? scheduler::pending_jobs(*impl_->state, queue) : 0;
 }
 
+const scheduler::coordinator_state* leader::state() const {
+    return ready() ? &*impl_->state : nullptr;
+}
+
 } // namespace fulmarworks::node
--- a/libs/node/src/leader.h
+++ b/libs/node/src/leader.h
@@ -78,6 +78,9 @@
     /** Cancels a job; calls `done` once the cancellation is stored. */
     void cancel(const std::string& job, std::function<void(const job_answer&)> done);
 
+    /** Returns the coordinator's state; null unless ready. */
+    [[nodiscard]] const scheduler::coordinator_state* state() const;
+
     /** Returns the number of jobs of a queue that have not been started; 0 unless ready. */
     [[nodiscard]] std::size_t pending(const std::string& queue) const;
 
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -48,6 +48,8 @@
         }
     }
 
+    void flag(const char* key, bool& value) { read(key, value); }
+
     [[nodiscard]] const std::string& errors() const { return errors_; }
 
 private:
@@ -112,6 +114,7 @@
     r.positive("reclaim_ms", s.limits.reclaim_ms);
     r.positive("remote_factor", s.limits.remote_factor);
     r.seconds("status_retention_s", s.limits.status_retention_ms);
+    r.flag("learned_worker_speeds", s.limits.learned_worker_speeds);
     if (!r.errors().empty()) {
         return error{error_kind::invalid_argument, "settings: " + r.errors(),
                      "correct the settings file; docs/OPERATORS.md lists the keys"};
--- a/libs/scheduler/include/scheduler/capacity_index.h
+++ b/libs/scheduler/include/scheduler/capacity_index.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "scheduler/speed_class.h"
 #include "scheduler/worker.h"
 
+#include <array>
 #include <map>
 #include <set>
 #include <span>
@@ -35,6 +37,13 @@
     /** Job under suspicion of crashing workers that has an unproven run here; null if there is
      * none. No other job's tasks start beside it. Only compared, as the job may be gone. */
     const job* suspect = nullptr;
+    speed_class speed = speed_class::normal;
+};
+
+/** Free accelerators of workers by speed class. */
+struct accelerators_by_speed {
+    std::array<std::int64_t, speed_class_count> free{};
+    std::array<std::int64_t, speed_class_count> free_after_stops{};
 };
 
 /**
@@ -46,6 +55,7 @@
     std::int64_t free_accelerators = 0;
     std::int64_t free_accelerators_after_stops = 0;
     std::int64_t all_accelerators = 0;
+    accelerators_by_speed by_speed;
 };
 
 /** Change of a worker's capacity while a plan is being made. */
@@ -96,8 +106,11 @@
     /** Returns the capacities at all positions; `host` is null at unused ones. */
     [[nodiscard]] std::span<const worker_capacity> all() const { return capacities_; }
 
-    /** Returns the workers of a pool that accept tasks, in the order of a best-fit search. */
-    [[nodiscard]] const std::set<search_key>& accepting_workers(const std::string& pool) const;
+    /** Workers that accept tasks, by speed class and in the order of a best-fit search. */
+    using workers_by_speed = std::array<std::set<search_key>, speed_class_count>;
+
+    /** Returns the workers of a pool that accept tasks. */
+    [[nodiscard]] const workers_by_speed& accepting_workers(const std::string& pool) const;
     /** Returns the workers that accept tasks and have runs that are being stopped. */
     [[nodiscard]] const std::set<worker_index>& workers_with_stops() const {
         return workers_with_stops_;
@@ -116,6 +129,8 @@
     /** Accelerators of all workers that accept tasks. */
     [[nodiscard]] std::int64_t free_accelerators() const { return free_accelerators_; }
     [[nodiscard]] std::int64_t all_accelerators() const { return all_accelerators_; }
+    /** The same by speed class; the sums after stops are 0. */
+    [[nodiscard]] const accelerators_by_speed& by_speed() const { return by_speed_; }
 
 private:
     /** Pool, rack and accelerators of a worker as reported when its capacity was set. */
@@ -135,13 +150,14 @@
     std::vector<indexed_location> locations_;
     std::vector<worker_index> unused_indices_;
     std::unordered_map<std::string, worker_index> index_by_worker_;
-    std::map<std::string, std::set<search_key>> accepting_;
+    std::map<std::string, workers_by_speed> accepting_;
     std::set<worker_index> workers_with_stops_;
     std::map<std::string, rack_capacity> racks_;
     std::map<rack_key, const rack_capacity*> racks_by_free_;
     std::set<std::string> stale_workers_;
     std::int64_t free_accelerators_ = 0;
     std::int64_t all_accelerators_ = 0;
+    accelerators_by_speed by_speed_;
 };
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -4,6 +4,7 @@
 #include "scheduler/effect.h"
 #include "scheduler/event.h"
 #include "scheduler/settings.h"
+#include "scheduler/speed_evidence.h"
 #include "scheduler/urgent_arrivals.h"
 
 #include <functional>
@@ -76,6 +77,7 @@
      */
     std::map<std::string, std::int64_t> urgent_demand;
     urgent_arrivals recent_urgent_jobs;
+    worker_speeds speeds;
 
     /**
      * Jobs whose stored progress can't be decoded. They are reported as running and never started.
--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -2,6 +2,7 @@
 
 #include "scheduler/job_spec.h"
 #include "scheduler/loss_count.h"
+#include "scheduler/run_rate.h"
 #include "scheduler/task_id.h"
 
 #include <map>
@@ -67,6 +68,8 @@
     /** Monotonic time of the last change of `percent`. */
     time_ms progressed_at_ms = 0;
     time_ms started_at_ms = 0;
+    /** Monotonic time at which the run started from the beginning; 0 if that is unknown. */
+    time_ms measured_from_ms = 0;
     /** Whether the placement is stored, so that the run may start. */
     bool start_allowed = false;
     /** Monotonic time of the latest order in the current phase. */
@@ -86,6 +89,9 @@
 struct step_progress {
     std::vector<task> tasks;
     std::uint32_t complete_count = 0;
+    /** Rates of the tasks' runs, by task index; empty before the first is measured, and not stored.
+     */
+    std::vector<run_rate> rates;
     /** Failed runs of the gang as a whole. */
     std::uint32_t gang_failures = 0;
     /** Monotonic time at which the step became ready; 0 before that. */
--- a/libs/scheduler/include/scheduler/settings.h
+++ b/libs/scheduler/include/scheduler/settings.h
@@ -19,6 +19,8 @@
     double remote_factor = 3;
     /** Time for which the state of an ended job can be queried. */
     time_ms status_retention_ms = 120000;
+    /** Whether the speeds of workers are learned and used for placement. */
+    bool learned_worker_speeds = true;
 };
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/capacity.cpp
+++ b/libs/scheduler/src/capacity.cpp
@@ -54,13 +54,13 @@
 }
 
 /**
- * Searches the workers of the pool that accept tasks in best-fit order, starting at the first that
- * may be large enough.
+ * Searches workers of one speed class of the pool that accept tasks in best-fit order, starting at
+ * the first that may be large enough.
  */
 void search_by_best_fit(best_candidate& best, const capacity_index& capacities,
+                        const std::set<capacity_index::search_key>& accepting,
                         const task_group_request& request, const resources& need,
                         capacity_kind kind) {
-    const auto& accepting = capacities.accepting_workers(request.owner->spec.policy.pool);
     auto it = accepting.lower_bound({need.accelerators, need.memory_mb, 0});
     while (it != accepting.end()) {
         const auto& [accelerators, memory_mb, index] = *it;
@@ -91,7 +91,12 @@
         }
         return best.index();
     }
-    search_by_best_fit(best, capacities, request, need, kind);
+    const auto& accepting = capacities.accepting_workers(request.owner->spec.policy.pool);
+    for (std::size_t speed = 0; speed < speed_class_count; ++speed) {
+        if (request.speeds[speed]) {
+            search_by_best_fit(best, capacities, accepting[speed], request, need, kind);
+        }
+    }
     if (kind == capacity_kind::free_after_stops) {
         for (const worker_index index : capacities.workers_with_stops()) {
             consider_worker(best, capacities, index, request, need, kind);
@@ -109,6 +114,10 @@
     capacity.free = w.report.capacity;
     capacity.accepts_tasks = accepts_work(state, w, now_ms);
     capacity.in_use = !w.assigned.empty() || !w.orphaned_runs.empty();
+    const auto known_speed = state.speeds.by_worker.find(capacity.id);
+    if (known_speed != state.speeds.by_worker.end()) {
+        capacity.speed = known_speed->second.speed;
+    }
     resources ending;
     for (const auto& task : w.assigned) {
         const task_ref ref = find_task(state, task);
@@ -150,7 +159,8 @@
 }
 
 bool eligible(const worker_capacity& capacity, const task_group_request& request) {
-    if (!capacity.accepts_tasks || capacity.host->report.pool != request.owner->spec.policy.pool) {
+    if (!capacity.accepts_tasks || !contains(request.speeds, capacity.speed) ||
+        capacity.host->report.pool != request.owner->spec.policy.pool) {
         return false;
     }
     const std::string& rack = capacity.host->report.rack;
@@ -175,16 +185,18 @@
 }
 
 bool may_fit(const capacity_index& capacities, search_scope scope, const resources& need,
-             std::size_t count, capacity_kind kind) {
-    if (scope == all_racks) {
-        return kind == capacity_kind::free_after_stops ||
-               need.accelerators * static_cast<std::int64_t>(count) <=
-                   capacities.free_accelerators();
-    }
-    const std::int64_t available = kind == capacity_kind::free
-                                       ? scope->free_accelerators
-                                       : scope->free_accelerators_after_stops;
-    return need.accelerators * static_cast<std::int64_t>(count) <= available;
+             std::size_t count, capacity_kind kind, speed_set speeds) {
+    if (scope == all_racks && kind == capacity_kind::free_after_stops) {
+        return true;
+    }
+    const accelerators_by_speed& sums =
+        scope == all_racks ? capacities.by_speed() : scope->by_speed;
+    const auto& available = kind == capacity_kind::free ? sums.free : sums.free_after_stops;
+    std::int64_t total = 0;
+    for (std::size_t speed = 0; speed < speed_class_count; ++speed) {
+        total += speeds[speed] ? available[speed] : 0;
+    }
+    return need.accelerators * static_cast<std::int64_t>(count) <= total;
 }
 
 std::vector<worker_index> book_best_fit(capacity_index& capacities, search_scope scope,
--- a/libs/scheduler/src/capacity.h
+++ b/libs/scheduler/src/capacity.h
@@ -33,6 +33,8 @@
     /** Racks that are kept free for other tasks, except for tasks whose data is there; may be null.
      */
     const std::set<std::string_view>* avoided_racks = nullptr;
+    /** Speed classes of the workers that may be used. */
+    speed_set speeds = all_speeds;
 };
 
 /** Returns whether the step has a limit for its tasks on one worker. */
@@ -49,9 +51,11 @@
 using search_scope = const rack_capacity*;
 inline constexpr search_scope all_racks = nullptr;
 
-/** Returns whether `count` tasks may fit, judging by accelerators alone. */
+/** Returns whether `count` tasks may fit on workers of some speeds, judging by accelerators alone.
+ */
 [[nodiscard]] bool may_fit(const capacity_index& capacities, search_scope scope,
-                           const resources& need, std::size_t count, capacity_kind kind);
+                           const resources& need, std::size_t count, capacity_kind kind,
+                           speed_set speeds);
 
 /**
  * Books a worker for each of up to `count` tasks by best fit on accelerators, then memory. Returns
--- a/libs/scheduler/src/capacity_index.cpp
+++ b/libs/scheduler/src/capacity_index.cpp
@@ -88,9 +88,9 @@
     return known == index_by_worker_.end() ? nullptr : &known->second;
 }
 
-const std::set<capacity_index::search_key>&
+const capacity_index::workers_by_speed&
 capacity_index::accepting_workers(const std::string& pool) const {
-    static const std::set<search_key> none;
+    static const workers_by_speed none;
     const auto found = accepting_.find(pool);
     return found == accepting_.end() ? none : found->second;
 }
@@ -122,8 +122,9 @@
     if (!capacity.accepts_tasks) {
         return;
     }
-    accepting_[locations_[index].pool].emplace(capacity.free.accelerators, capacity.free.memory_mb,
-                                               index);
+    const auto speed = static_cast<std::size_t>(capacity.speed);
+    accepting_[locations_[index].pool][speed].emplace(capacity.free.accelerators,
+                                                      capacity.free.memory_mb, index);
     if (capacity.free != capacity.free_after_stops) {
         workers_with_stops_.insert(index);
     }
@@ -132,6 +133,10 @@
     rack->second.free_accelerators += summable_accelerators(capacity.free);
     rack->second.free_accelerators_after_stops += summable_accelerators(capacity.free_after_stops);
     rack->second.all_accelerators += locations_[index].accelerators;
+    rack->second.by_speed.free[speed] += summable_accelerators(capacity.free);
+    rack->second.by_speed.free_after_stops[speed] +=
+        summable_accelerators(capacity.free_after_stops);
+    by_speed_.free[speed] += summable_accelerators(capacity.free);
     racks_by_free_.emplace(rack_key(rack->second.free_accelerators, rack->first), &rack->second);
     free_accelerators_ += summable_accelerators(capacity.free);
     all_accelerators_ += locations_[index].accelerators;
@@ -142,7 +147,8 @@
     if (!capacity.accepts_tasks) {
         return;
     }
-    accepting_[locations_[index].pool].erase(
+    const auto speed = static_cast<std::size_t>(capacity.speed);
+    accepting_[locations_[index].pool][speed].erase(
         {capacity.free.accelerators, capacity.free.memory_mb, index});
     workers_with_stops_.erase(index);
     const auto rack = racks_.find(locations_[index].rack);
@@ -150,6 +156,10 @@
     rack->second.free_accelerators -= summable_accelerators(capacity.free);
     rack->second.free_accelerators_after_stops -= summable_accelerators(capacity.free_after_stops);
     rack->second.all_accelerators -= locations_[index].accelerators;
+    rack->second.by_speed.free[speed] -= summable_accelerators(capacity.free);
+    rack->second.by_speed.free_after_stops[speed] -=
+        summable_accelerators(capacity.free_after_stops);
+    by_speed_.free[speed] -= summable_accelerators(capacity.free);
     racks_by_free_.emplace(rack_key(rack->second.free_accelerators, rack->first), &rack->second);
     free_accelerators_ -= summable_accelerators(capacity.free);
     all_accelerators_ -= locations_[index].accelerators;
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -4,6 +4,7 @@
 #include "lease.h"
 #include "lifecycle.h"
 #include "scheduler/codec.h"
+#include "speed_learning.h"
 #include "start_planner.h"
 #include "worker_loss.h"
 #include "worker_sync.h"
@@ -222,6 +223,7 @@
         expire_inherited_losses(ctx);
     }
     maintain_workers(ctx);
+    update_speed_classes(ctx);
     if (ctx.now.monotonic_ms - ctx.state.planned_at_ms >= replan_interval_ms) {
         ctx.state.plan_needed = true;
     }
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -1,6 +1,7 @@
 #include "lifecycle.h"
 
 #include "overbooking.h"
+#include "speed_learning.h"
 
 #include <algorithm>
 
@@ -186,6 +187,7 @@
     t.stop_confirmed_at_ms = 0;
     t.start_expires_at_worker_ms = 0;
     t.confirmed_at_ms = 0;
+    t.measured_from_ms = 0;
     t.proven = false;
     t.lost = false;
     t.start_delayed = false;
@@ -296,7 +298,11 @@
         if (worker* w = find_worker(ctx.state, ref.item->where.id)) {
             w->failed_jobs.clear();
         }
+        measure_end(ctx, end.task, ref);
         complete(ctx, ref, end);
+        if (ref.progress->complete()) {
+            ref.progress->rates = {};
+        }
     } else {
         if (end.reason == end_reason::failed) {
             count_failure(ctx, ref, end);
--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -2,7 +2,9 @@
 
 #include "capacity.h"
 #include "gang_reservation.h"
+#include "group_placement.h"
 #include "lookup.h"
+#include "speed_preference.h"
 #include "suspect_isolation.h"
 #include "task_groups.h"
 #include "urgent_headroom.h"
@@ -113,85 +115,36 @@
     }
 }
 
-bool prefers_single_rack(const step_spec& spec) {
-    return spec.gang && spec.same_rack && spec.task_count > 1;
-}
-
-/** Returns the preferred racks of the group, those with the fewest free accelerators first. */
-std::vector<search_scope> preferred_racks(const planning_context& p, const task_group& group) {
-    std::vector<search_scope> racks;
-    const std::string& data_rack = group.spec().data_rack;
-    if (!data_rack.empty()) {
-        if (const rack_capacity* rack = p.capacities().rack(data_rack)) {
-            racks.push_back(rack);
-        }
-    } else if (prefers_single_rack(group.spec())) {
-        for (const auto& [key, rack] : p.capacities().racks()) {
-            racks.push_back(rack);
-        }
-    }
-    return racks;
-}
-
 /** Returns whether the group may run on any rack if its preferred racks lack free capacity. */
 bool may_run_anywhere(const planning_context& p, const task_group& group, bool has_preferred_rack) {
     return !has_preferred_rack || !waits_for_rack(p, group);
 }
 
-/** Returns the accelerators that stay free on the chosen workers; lower is better. */
-std::int64_t remaining_free_accelerators(const planning_context& p,
-                                         std::span<const worker_index> chosen) {
-    std::int64_t total = 0;
-    for (const worker_index index : chosen) {
-        total += p.capacities().at(index).free.accelerators;
-    }
-    return total;
-}
-
-std::optional<std::vector<worker_index>>
-place_all_tasks(planning_context& p, const task_group& group, search_scope scope,
-                task_group_request& request, capacity_kind kind) {
-    const std::size_t count = group.tasks.size();
-    if (!may_fit(p.capacities(), scope, booked_resources(group.spec()), count, kind)) {
-        return std::nullopt;
-    }
-    auto chosen = book_best_fit(p.capacities(), scope, request, count, kind);
-    if (chosen.size() < count) {
-        unbook(p.capacities(), request, chosen);
-        return std::nullopt;
-    }
-    return chosen;
-}
-
 /**
- * Places a whole gang in the rack that leaves the fewest accelerators free on the chosen workers.
+ * Places a whole gang: in a preferred rack if possible, and within it on the best speed classes, as
+ * leaving the rack slows a gang more than a slower worker does.
  */
 std::optional<std::vector<worker_index>> place_gang(planning_context& p, const task_group& group,
                                                     task_group_request& request,
                                                     capacity_kind kind) {
-    search_scope best_rack = all_racks;
-    std::int64_t best_left = 0;
-    std::size_t tried = 0;
-    const auto racks = preferred_racks(p, group);
-    for (const search_scope rack : racks) {
-        const auto chosen = place_all_tasks(p, group, rack, request, kind);
-        if (!chosen) {
-            continue;
-        }
-        const std::int64_t left = remaining_free_accelerators(p, *chosen);
-        unbook(p.capacities(), request, *chosen);
-        if (best_rack == all_racks || left < best_left) {
-            best_rack = rack;
-            best_left = left;
-        }
-        if (++tried == max_racks_compared) {
-            break;
+    const auto racks = preferred_racks(p.capacities(), group);
+    const auto speeds = gang_speeds(p.state, group.owner->spec.policy.priority);
+    std::optional<std::vector<worker_index>> chosen;
+    for (auto it = speeds.begin(); it != speeds.end() && !racks.empty() && !chosen; ++it) {
+        request.speeds = *it;
+        const search_scope rack = find_best_rack(p.capacities(), group, racks, request, kind);
+        if (rack != all_racks) {
+            chosen = book_whole_group(p.capacities(), group, rack, request, kind);
         }
     }
-    if (best_rack == all_racks && !may_run_anywhere(p, group, !racks.empty())) {
-        return std::nullopt;
+    if (!chosen && may_run_anywhere(p, group, !racks.empty())) {
+        for (auto it = speeds.begin(); it != speeds.end() && !chosen; ++it) {
+            request.speeds = *it;
+            chosen = book_whole_group(p.capacities(), group, all_racks, request, kind);
+        }
     }
-    return place_all_tasks(p, group, best_rack, request, kind);
+    request.speeds = all_speeds;
+    return chosen;
 }
 
 /** Returns the cheapest set of runs to stop in one of the preferred racks. */
@@ -221,7 +174,7 @@
  * Stops runs to free capacity for an urgent group, in the preferred rack where that costs least.
  */
 void preempt(planning_context& p, const task_group& group, const task_group_request& request) {
-    const auto racks = preferred_racks(p, group);
+    const auto racks = preferred_racks(p.capacities(), group);
     auto selection = find_cheapest_selection(p, group, racks, request);
     if (!selection && may_run_anywhere(p, group, !racks.empty())) {
         selection = select_victims(p.state, all_racks, p.victims, group, request);
@@ -286,14 +239,28 @@
 
 /** Places the tasks that fit now and removes them from the group. */
 void place_tasks(planning_context& p, task_group& group, task_group_request& request) {
-    const auto place_in_scope = [&](search_scope scope) {
-        const auto chosen =
-            book_best_fit(p.capacities(), scope, request, group.tasks.size(), capacity_kind::free);
+    const auto add_chosen = [&](std::span<const worker_index> chosen) {
         add_placements(p, group, chosen);
         group.tasks.erase(group.tasks.begin(),
                           group.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
     };
-    const auto racks = preferred_racks(p, group);
+    const auto speeds = task_speeds(p.state, group.owner->spec.policy.priority);
+    const auto place_in_scope = [&](search_scope scope) {
+        request.speeds = speeds.all_or_nothing;
+        if (request.speeds.any()) {
+            if (const auto chosen =
+                    book_whole_group(p.capacities(), group, scope, request, capacity_kind::free)) {
+                add_chosen(*chosen);
+            }
+        }
+        for (auto it = speeds.in_order.begin(); it != speeds.in_order.end(); ++it) {
+            request.speeds = *it;
+            add_chosen(book_best_fit(p.capacities(), scope, request, group.tasks.size(),
+                                     capacity_kind::free));
+        }
+        request.speeds = all_speeds;
+    };
+    const auto racks = preferred_racks(p.capacities(), group);
     for (const search_scope rack : racks) {
         place_in_scope(rack);
     }
--- a/libs/scheduler/src/victim_selection.cpp
+++ b/libs/scheduler/src/victim_selection.cpp
@@ -3,6 +3,8 @@
 #include "lookup.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 
 namespace fulmarworks::scheduler {
 
@@ -148,11 +150,19 @@
     if (scope != all_racks) {
         return scope->workers;
     }
+    std::vector<capacity_index::search_key> keys;
+    for (const auto& accepting :
+         a.state.capacities.accepting_workers(a.request.owner->spec.policy.pool)) {
+        const auto count = static_cast<std::ptrdiff_t>(std::min(max_candidates, accepting.size()));
+        const auto middle = static_cast<std::ptrdiff_t>(keys.size());
+        keys.insert(keys.end(), accepting.rbegin(), std::next(accepting.rbegin(), count));
+        std::inplace_merge(keys.begin(), keys.begin() + middle, keys.end(), std::greater<>());
+    }
+    keys.resize(std::min(max_candidates, keys.size()));
     std::vector<worker_index> indices;
-    const auto& accepting = a.state.capacities.accepting_workers(a.request.owner->spec.policy.pool);
-    for (auto it = accepting.rbegin(); it != accepting.rend() && indices.size() < max_candidates;
-         ++it) {
-        indices.push_back(std::get<worker_index>(*it));
+    indices.reserve(keys.size());
+    for (const auto& key : keys) {
+        indices.push_back(std::get<worker_index>(key));
     }
     return indices;
 }
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -1,7 +1,9 @@
 #include "worker_sync.h"
 
 #include "lease.h"
+#include "speed_learning.h"
 #include "worker_loss.h"
+#include "worker_speed.h"
 
 #include <algorithm>
 #include <iterator>
@@ -39,6 +41,7 @@
                  "worker=" + w.report.incarnation.id +
                      " born_ms=" + std::to_string(started_wall_ms));
     const auto hopeless = count_worker_crash(ctx, w, loss_evidence::restarted);
+    discount_evidence(ctx.state.speeds, w.report.incarnation.id);
     w.report.incarnation.started_wall_ms = started_wall_ms;
     const auto assigned = w.assigned;
     for (const auto& id : assigned) {
@@ -114,16 +117,19 @@
 }
 
 void confirm_run(task& t, time_ms now_ms) {
+    begin_measurement(t, now_ms);
     t.phase = task_phase::running;
     t.order_attempts = 0;
     t.confirmed_at_ms = now_ms;
     t.progressed_at_ms = now_ms;
 }
 
-void update_progress(task& t, const active_run& run, time_ms now_ms) {
+void update_progress(reduce_context& ctx, const active_run& run, const task_ref& ref) {
+    task& t = *ref.item;
     if (t.percent != run.percent) {
         t.percent = run.percent;
-        t.progressed_at_ms = now_ms;
+        t.progressed_at_ms = ctx.now.monotonic_ms;
+        measure_progress(ctx, run.task, ref);
     }
 }
 
@@ -133,7 +139,7 @@
         confirm_run(t, ctx.now.monotonic_ms);
         t.started_at_ms = t.started_at_ms == 0 ? ctx.now.monotonic_ms : t.started_at_ms;
     }
-    update_progress(t, run, ctx.now.monotonic_ms);
+    update_progress(ctx, run, ref);
     if (!t.proven && ctx.now.monotonic_ms - t.confirmed_at_ms >= run_probation_ms) {
         t.proven = true;
         ctx.state.capacities.mark_stale(t.where.id);
