--- a/libs/scheduler/src/speed_learning.cpp
+++ b/libs/scheduler/src/speed_learning.cpp
@@ -62,10 +62,10 @@
     if (rate.run == 0 || rate.compared || rate.run != ref.progress->tasks[id.index].run) {
         return;
     }
-    if (const auto ratio =
+    if (const auto compared =
             compare_rate(ctx.state.speeds, *ref.progress, id.index, ref.spec->gang)) {
         rate.compared = true;
-        add_evidence(ctx.state.speeds, rate.worker, id.job, *ratio, ctx.now.monotonic_ms);
+        add_evidence(ctx.state.speeds, rate.worker, id.job, *compared, ctx.now.monotonic_ms);
     }
 }
 
--- a/libs/scheduler/src/worker_speed.cpp
+++ b/libs/scheduler/src/worker_speed.cpp
@@ -14,6 +14,12 @@
 /** Evidence that a class needs. */
 constexpr std::uint32_t min_runs = 3;
 constexpr std::uint32_t min_jobs = 2;
+/** Slightly less than the weight of three full comparisons, of which the earlier ones count less.
+ */
+constexpr double min_weight = 2.5;
+/** Weight of a comparison with one worker of unknown speed. With a quarter of fast workers, a
+ * worker is rarely compared with as few as four of which most are fast. */
+constexpr double unknown_worker_weight = 0.25;
 /** A fast worker is faster than the median by this factor, and a slow one slower. Workers of
  * deployments with even workers differ by a factor of 1.3 at most. */
 constexpr double class_ratio = 1.5;
@@ -46,15 +52,17 @@
     return e.sum / e.weight;
 }
 
+/** Precondition: the evidence is sufficient. */
 double standard_error(const speed_evidence& e) {
-    if (e.weight <= 1) {
-        return max_log_ratio;
-    }
     const double variance =
         (e.sum_of_squares / e.weight - mean(e) * mean(e)) * e.weight / (e.weight - 1);
     return std::sqrt(std::max(variance, min_deviation * min_deviation) / e.weight);
 }
 
+bool is_sufficient(const speed_evidence& e) {
+    return e.runs >= min_runs && e.jobs >= min_jobs && e.weight >= min_weight;
+}
+
 /** Returns whether a difference of locality can't explain a difference of the rates. */
 bool comparable(const run_rate& a, const run_rate& b, bool gang) {
     // The runs of a gang may be spread over racks, which slows all its members, and later ones not.
@@ -63,44 +71,59 @@
 
 } // namespace
 
-double learned_log_speed(const worker_speeds& speeds, const std::string& worker) {
+std::optional<double> learned_log_speed(const worker_speeds& speeds, const std::string& worker) {
     const auto found = speeds.by_worker.find(worker);
-    return found == speeds.by_worker.end() || found->second.runs < min_runs ? 0
-                                                                            : mean(found->second);
+    if (found == speeds.by_worker.end() || !is_sufficient(found->second)) {
+        return std::nullopt;
+    }
+    return mean(found->second);
 }
 
-std::optional<double> compare_rate(const worker_speeds& speeds, const step_progress& progress,
-                                   std::size_t index, bool gang) {
+std::optional<rate_comparison> compare_rate(const worker_speeds& speeds,
+                                            const step_progress& progress, std::size_t index,
+                                            bool gang) {
     const auto& rates = progress.rates;
     const run_rate& own = rates[index];
     std::array<double, max_tasks_examined> others{};
+    std::array<const std::string*, max_tasks_examined> seen{};
     std::size_t measured = 0;
     std::size_t unmeasured = 0;
+    std::size_t own_runs = 1;
+    double weight = 0;
     for (std::size_t k = 1; k < rates.size() && k <= max_tasks_examined; ++k) {
         const std::size_t other = (index + k) % rates.size();
-        if (comparable(own, rates[other], gang)) {
-            if (rates[other].worker != own.worker) {
-                others[measured++] =
-                    rates[other].log_rate - learned_log_speed(speeds, rates[other].worker);
+        const run_rate& rate = rates[other];
+        if (!comparable(own, rate, gang)) {
+            const task& t = progress.tasks[other];
+            unmeasured += rate.run != t.run && is_assigned(t.phase) ? 1 : 0;
+        } else if (rate.worker == own.worker) {
+            ++own_runs;
+        } else {
+            const auto known = learned_log_speed(speeds, rate.worker);
+            const auto seen_end = seen.begin() + measured;
+            if (std::none_of(seen.begin(), seen_end,
+                             [&](const auto* worker) { return *worker == rate.worker; })) {
+                weight += known ? 1 : unknown_worker_weight;
             }
-        } else if (rates[other].run != progress.tasks[other].run &&
-                   is_assigned(progress.tasks[other].phase)) {
-            ++unmeasured;
+            seen[measured] = &rate.worker;
+            others[measured++] = rate.log_rate - known.value_or(0);
         }
     }
     if (measured == 0 || measured < measured_per_unmeasured * unmeasured) {
         return std::nullopt;
     }
-    return own.log_rate - median(std::span(others).first(measured));
+    return rate_comparison{own.log_rate - median(std::span(others).first(measured)),
+                           std::min(weight, 1.0) / static_cast<double>(own_runs)};
 }
 
 void add_evidence(worker_speeds& speeds, const std::string& worker, std::string_view job,
-                  double log_ratio, time_ms now_ms) {
+                  const rate_comparison& compared, time_ms now_ms) {
     speed_evidence& e = speeds.by_worker[worker];
-    const double sample = std::clamp(log_ratio, -max_log_ratio, max_log_ratio);
-    e.weight = e.weight * weight_decay + 1;
-    e.sum = e.sum * weight_decay + sample;
-    e.sum_of_squares = e.sum_of_squares * weight_decay + sample * sample;
+    const double sample = std::clamp(compared.log_ratio, -max_log_ratio, max_log_ratio);
+    const double decay = std::pow(weight_decay, compared.weight);
+    e.weight = e.weight * decay + compared.weight;
+    e.sum = e.sum * decay + sample * compared.weight;
+    e.sum_of_squares = e.sum_of_squares * decay + sample * sample * compared.weight;
     ++e.runs;
     if (e.last_job != job) {
         e.last_job = job;
@@ -125,7 +148,7 @@
     std::vector<double> means;
     means.reserve(speeds.by_worker.size());
     for (const auto& [worker, e] : speeds.by_worker) {
-        if (e.runs >= min_runs) {
+        if (is_sufficient(e)) {
             means.push_back(mean(e));
         }
     }
@@ -133,7 +156,7 @@
 }
 
 speed_class classify_speed(const speed_evidence& e, double fleet_median) {
-    if (e.runs < min_runs || e.jobs < min_jobs) {
+    if (!is_sufficient(e)) {
         return speed_class::normal;
     }
     const double ratio = mean(e) - fleet_median;
--- a/libs/scheduler/tests/simulated_cluster.cpp
+++ b/libs/scheduler/tests/simulated_cluster.cpp
@@ -109,9 +109,16 @@
     ++start_counts_[order.task];
     const auto& steps = job_specs_.at(order.task.job).steps;
     const auto crash_delay = crash_delays_ms_.find(order.task);
+    const time_ms estimate_ms = steps[order.task.step].estimate_ms;
+    const auto run_time =
+        run_times_ ? run_times_(order) : simulated_run_time{estimate_ms, estimate_ms};
     w.runs[order.task] = {
-        order.run, now_.monotonic_ms + steps[order.task.step].estimate_ms, end_reason::done,
-        crash_delay == crash_delays_ms_.end() ? 0 : now_.monotonic_ms + crash_delay->second};
+        order.run,
+        now_.monotonic_ms + run_time.duration_ms,
+        end_reason::done,
+        crash_delay == crash_delays_ms_.end() ? 0 : now_.monotonic_ms + crash_delay->second,
+        now_.monotonic_ms,
+        run_time.usual_ms};
     first_start_ms_.try_emplace(order.task, now_.monotonic_ms);
     if (crash_delay != crash_delays_ms_.end() && crash_delay->second == 0) {
         crash(w);
@@ -173,9 +180,12 @@
     worker_status status;
     status.started_wall_ms = w.report.incarnation.started_wall_ms;
     status.clock_ms = now_.monotonic_ms;
-    const int percent = static_cast<int>(now_.monotonic_ms / 1000 % 100);
     for (const auto& [task, r] : w.runs) {
-        status.active.push_back({task, r.number, "", percent});
+        const time_ms percent =
+            run_times_
+                ? std::min<time_ms>(100, (now_.monotonic_ms - r.started_at_ms) * 100 / r.usual_ms)
+                : now_.monotonic_ms / 1000 % 100;
+        status.active.push_back({task, r.number, "", static_cast<int>(percent)});
     }
     status.ended = w.ended;
     send(poll_answered{order.where.id, now_.monotonic_ms, std::move(status)});
--- a/libs/scheduler/tests/simulated_cluster.h
+++ b/libs/scheduler/tests/simulated_cluster.h
@@ -3,6 +3,7 @@
 #include "scheduler/coordinator.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +28,12 @@
     lost,      // never comes back
 };
 
+/** Run time of a run, and the time after which its progress stays at 100 percent. */
+struct simulated_run_time {
+    time_ms usual_ms = 0;
+    time_ms duration_ms = 0;
+};
+
 /** A coordinator, its store and its workers on a virtual clock. */
 class simulated_cluster {
 public:
@@ -44,6 +51,11 @@
     void set_crashing_task(const task_id& task, time_ms after_ms = 0) {
         crash_delays_ms_[task] = after_ms;
     }
+    /** Sets the run times, which otherwise are the estimates, and lets workers report the progress
+     * of runs, which otherwise only changes every second. */
+    void set_run_times(std::function<simulated_run_time(const send_start&)> model) {
+        run_times_ = std::move(model);
+    }
     void set_crash_outcome(crash_outcome outcome) { crash_outcome_ = outcome; }
     /** Lets a worker neither answer nor report for some time; its runs continue. */
     void cut_worker(const std::string& id, time_ms for_ms);
@@ -77,6 +89,8 @@
         end_reason reason = end_reason::done;
         /** Monotonic time at which the run crashes its worker; 0 if it doesn't. */
         time_ms crashes_at_ms = 0;
+        time_ms started_at_ms = 0;
+        time_ms usual_ms = 0;
     };
     struct simulated_worker {
         worker_report report;
@@ -132,6 +146,7 @@
     std::map<std::string, int> stop_counts_;
     std::map<task_id, int> start_counts_;
     std::map<task_id, time_ms> crash_delays_ms_;
+    std::function<simulated_run_time(const send_start&)> run_times_;
     crash_outcome crash_outcome_ = crash_outcome::replaced;
     int crash_count_ = 0;
     int overbooking_starts_ = 0;
