Check the workers' resources before a gang is booked in a rack

Cause: with fast workers, an urgent gang first tries every rack that has enough free accelerators on them.

Change: may_fit also counts how many tasks fit on each worker of a rack. It only rejects what the search would reject, so placements stay the same.

--- a/libs/scheduler/src/capacity.cpp
+++ b/libs/scheduler/src/capacity.cpp
@@ -30,6 +30,32 @@
     return true;
 }
 
+/** Returns how many times `need`, at most `limit`, fits into `available`. */
+std::size_t count_fitting(const resources& need, const resources& available, std::size_t limit) {
+    const auto most = static_cast<std::int64_t>(limit);
+    const auto times = [&](std::int64_t needed, std::int64_t offered) {
+        return needed == 0 ? (offered < 0 ? 0 : most)
+                           : std::clamp<std::int64_t>(offered / needed, 0, most);
+    };
+    return static_cast<std::size_t>(std::min({times(need.accelerators, available.accelerators),
+                                              times(need.memory_mb, available.memory_mb),
+                                              times(need.cpu_millis, available.cpu_millis)}));
+}
+
+/** Returns whether the workers of a rack have the resources for `count` tasks. */
+bool has_room(const capacity_index& capacities, const rack_capacity& rack,
+              const task_group_request& request, const resources& need, std::size_t count,
+              capacity_kind kind) {
+    std::size_t found = 0;
+    for (const worker_index index : rack.workers) {
+        const worker_capacity& capacity = capacities.at(index);
+        if (capacity.accepts_tasks && contains(request.speeds, capacity.speed)) {
+            found += count_fitting(need, available_in(capacity, kind), count);
+        }
+    }
+    return found >= count;
+}
+
 /** Best worker found so far in one search. */
 struct best_candidate {
     std::optional<capacity_index::search_key> key;
@@ -184,19 +210,23 @@
            tasks->second < request.spec->max_tasks_per_worker;
 }
 
-bool may_fit(const capacity_index& capacities, search_scope scope, const resources& need,
-             std::size_t count, capacity_kind kind, speed_set speeds) {
+bool may_fit(const capacity_index& capacities, search_scope scope,
+             const task_group_request& request, std::size_t count, capacity_kind kind) {
     if (scope == all_racks && kind == capacity_kind::free_after_stops) {
         return true;
     }
+    const resources need = booked_resources(*request.spec);
     const accelerators_by_speed& sums =
         scope == all_racks ? capacities.by_speed() : scope->by_speed;
     const auto& available = kind == capacity_kind::free ? sums.free : sums.free_after_stops;
-    std::int64_t total = 0;
+    std::int64_t accelerators = 0;
     for (std::size_t speed = 0; speed < speed_class_count; ++speed) {
-        total += speeds[speed] ? available[speed] : 0;
+        accelerators += request.speeds[speed] ? available[speed] : 0;
+    }
+    if (need.accelerators * static_cast<std::int64_t>(count) > accelerators) {
+        return false;
     }
-    return need.accelerators * static_cast<std::int64_t>(count) <= total;
+    return scope == all_racks || has_room(capacities, *scope, request, need, count, kind);
 }
 
 std::vector<worker_index> book_best_fit(capacity_index& capacities, search_scope scope,
--- a/libs/scheduler/src/capacity.h
+++ b/libs/scheduler/src/capacity.h
@@ -51,11 +51,13 @@
 using search_scope = const rack_capacity*;
 inline constexpr search_scope all_racks = nullptr;
 
-/** Returns whether `count` tasks may fit on workers of some speeds, judging by accelerators alone.
+/**
+ * Returns whether `count` tasks may fit: judging by the accelerators of the scope and, in a rack,
+ * by each worker's resources. It saves bookings that must be reverted, which cost much more.
  */
 [[nodiscard]] bool may_fit(const capacity_index& capacities, search_scope scope,
-                           const resources& need, std::size_t count, capacity_kind kind,
-                           speed_set speeds);
+                           const task_group_request& request, std::size_t count,
+                           capacity_kind kind);
 
 /**
  * Books a worker for each of up to `count` tasks by best fit on accelerators, then memory. Returns
--- a/libs/scheduler/src/group_placement.cpp
+++ b/libs/scheduler/src/group_placement.cpp
@@ -1,7 +1,5 @@
 #include "group_placement.h"
 
-#include "lookup.h"
-
 namespace fulmarworks::scheduler {
 
 namespace {
@@ -48,7 +46,7 @@
 book_whole_group(capacity_index& capacities, const task_group& group, search_scope scope,
                  task_group_request& request, capacity_kind kind) {
     const std::size_t count = group.tasks.size();
-    if (!may_fit(capacities, scope, booked_resources(group.spec()), count, kind, request.speeds)) {
+    if (!may_fit(capacities, scope, request, count, kind)) {
         return std::nullopt;
     }
     auto chosen = book_best_fit(capacities, scope, request, count, kind);
--- a/libs/scheduler/tests/capacity_index_test.cpp
+++ b/libs/scheduler/tests/capacity_index_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <numeric>
 
 using namespace fulmarworks;
 using namespace fulmarworks::scheduler;
@@ -57,6 +58,8 @@
         const rack_capacity* rack = index.rack(name);
         REQUIRE(rack != nullptr);
         REQUIRE(rack->free_accelerators == sum.first);
+        const auto& by_speed = rack->by_speed.free;
+        REQUIRE(std::accumulate(by_speed.begin(), by_speed.end(), std::int64_t{0}) == sum.first);
         REQUIRE(rack->workers.size() == sum.second);
         REQUIRE(index.racks().contains({sum.first, name}));
     }
