--- a/benchmarks/decisions/busy_fleet.cpp
+++ b/benchmarks/decisions/busy_fleet.cpp
@@ -118,9 +118,12 @@
 }
 
 std::vector<send_start> busy_fleet::submit_job(const std::string& id, int priority, int tasks,
-                                               std::int64_t accelerators, bool gang) {
+                                               std::int64_t accelerators, bool gang,
+                                               bool same_rack) {
     start_orders_.clear();
-    send(job_submitted{make_job(id, priority, tasks, accelerators, gang)});
+    job_spec spec = make_job(id, priority, tasks, accelerators, gang);
+    spec.steps.front().same_rack = same_rack;
+    send(job_submitted{std::move(spec)});
     answer_pending_effects();
     return std::exchange(start_orders_, {});
 }
--- a/benchmarks/decisions/busy_fleet.h
+++ b/benchmarks/decisions/busy_fleet.h
@@ -21,7 +21,8 @@
 
     /** Submits a job of `tasks` tasks and accepts the start orders that follow. Returns them. */
     std::vector<scheduler::send_start> submit_job(const std::string& id, int priority, int tasks,
-                                                  std::int64_t accelerators, bool gang);
+                                                  std::int64_t accelerators, bool gang,
+                                                  bool same_rack = false);
     void cancel_job(const std::string& id);
     /** Deletes an ended job. */
     void delete_job(const std::string& id);
--- a/benchmarks/decisions/coordinator_bench.cpp
+++ b/benchmarks/decisions/coordinator_bench.cpp
@@ -90,6 +90,23 @@
     report_event_durations(state, fleet);
 }
 
+/** Places an urgent gang in one of the racks, of which all have room for it, but not on two fast
+ * workers. */
+void place_rack_gang_and_cancel(benchmark::State& state) {
+    constexpr int members = 4;
+    auto& fleet = fleet_of(state);
+    (void)fleet.take_durations();
+    for (auto _ : state) {
+        const std::string id = next_id("rack-gang-");
+        if (fleet.submit_job(id, 0, members, 1, true, true).empty()) {
+            state.SkipWithError("the gang wasn't placed");
+        }
+        fleet.cancel_job(id);
+        fleet.delete_job(id);
+    }
+    report_event_durations(state, fleet);
+}
+
 /** Submits a task that needs a whole worker while preemptible tasks occupy part of each worker. */
 void preempt_for_urgent(benchmark::State& state) {
     auto& fleet = fleet_of(state);
@@ -135,6 +152,7 @@
     const std::pair<const char*, void (*)(benchmark::State&)> benchmarks[] = {
         {"place_and_end_urgent", place_and_end_urgent},
         {"place_gang_and_cancel", place_gang_and_cancel},
+        {"place_rack_gang_and_cancel", place_rack_gang_and_cancel},
         {"preempt_for_urgent", preempt_for_urgent},
         {"place_after_reports", place_after_reports},
         {"idle_tick", idle_tick}};
