--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -115,6 +115,7 @@
     r.positive("remote_factor", s.limits.remote_factor);
     r.seconds("status_retention_s", s.limits.status_retention_ms);
     r.boolean("learned_run_times", s.limits.learned_run_times);
+    r.boolean("learned_worker_speeds", s.limits.learned_worker_speeds);
     if (!r.errors().empty()) {
         return error{error_kind::invalid_argument, "settings: " + r.errors(),
                      "correct the settings file; docs/OPERATORS.md lists the keys"};
--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -5,6 +5,7 @@
 #include "scheduler/effect.h"
 #include "scheduler/event.h"
 #include "scheduler/settings.h"
+#include "scheduler/speed_evidence.h"
 #include "scheduler/urgent_arrivals.h"
 
 #include <functional>
@@ -79,6 +80,7 @@
     urgent_arrivals recent_urgent_jobs;
     /** Run times of finished runs; empty unless `settings::learned_run_times`. */
     run_times::run_time_model run_times;
+    worker_speeds speeds;
 
     /**
      * Jobs whose stored progress can't be decoded. They are reported as running and never started.
--- a/libs/scheduler/include/scheduler/settings.h
+++ b/libs/scheduler/include/scheduler/settings.h
@@ -21,6 +21,8 @@
     time_ms status_retention_ms = 120000;
     /** Whether decisions use run times learned from finished runs instead of callers' estimates. */
     bool learned_run_times = true;
+    /** Whether the speeds of workers are learned and used for placement. */
+    bool learned_worker_speeds = true;
 };
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/capacity.cpp
+++ b/libs/scheduler/src/capacity.cpp
@@ -30,6 +30,32 @@
     return true;
 }
 
+/** Returns how many times `need`, at most `limit`, fits into `available`. */
+std::size_t count_fitting(const resources& need, const resources& available, std::size_t limit) {
+    const auto most = static_cast<std::int64_t>(limit);
+    const auto times = [&](std::int64_t needed, std::int64_t offered) {
+        return needed == 0 ? (offered < 0 ? 0 : most)
+                           : std::clamp<std::int64_t>(offered / needed, 0, most);
+    };
+    return static_cast<std::size_t>(std::min({times(need.accelerators, available.accelerators),
+                                              times(need.memory_mb, available.memory_mb),
+                                              times(need.cpu_millis, available.cpu_millis)}));
+}
+
+/** Returns whether the workers of a rack have the resources for `count` tasks. */
+bool has_room(const capacity_index& capacities, const rack_capacity& rack,
+              const task_group_request& request, const resources& need, std::size_t count,
+              capacity_kind kind) {
+    std::size_t found = 0;
+    for (const worker_index index : rack.workers) {
+        const worker_capacity& capacity = capacities.at(index);
+        if (capacity.accepts_tasks && contains(request.speeds, capacity.speed)) {
+            found += count_fitting(need, available_in(capacity, kind), count);
+        }
+    }
+    return found >= count;
+}
+
 /** Best worker found so far in one search. */
 struct best_candidate {
     std::optional<capacity_index::search_key> key;
@@ -54,13 +80,13 @@
 }
 
 /**
- * Searches the workers of the pool that accept tasks in best-fit order, starting at the first that
- * may be large enough.
+ * Searches workers of one speed class of the pool that accept tasks in best-fit order, starting at
+ * the first that may be large enough.
  */
 void search_by_best_fit(best_candidate& best, const capacity_index& capacities,
+                        const std::set<capacity_index::search_key>& accepting,
                         const task_group_request& request, const resources& need,
                         capacity_kind kind) {
-    const auto& accepting = capacities.accepting_workers(request.owner->spec.policy.pool);
     auto it = accepting.lower_bound({need.accelerators, need.memory_mb, 0});
     while (it != accepting.end()) {
         const auto& [accelerators, memory_mb, index] = *it;
@@ -91,7 +117,12 @@
         }
         return best.index();
     }
-    search_by_best_fit(best, capacities, request, need, kind);
+    const auto& accepting = capacities.accepting_workers(request.owner->spec.policy.pool);
+    for (std::size_t speed = 0; speed < speed_class_count; ++speed) {
+        if (request.speeds[speed]) {
+            search_by_best_fit(best, capacities, accepting[speed], request, need, kind);
+        }
+    }
     if (kind == capacity_kind::free_after_stops) {
         for (const worker_index index : capacities.workers_with_stops()) {
             consider_worker(best, capacities, index, request, need, kind);
@@ -109,6 +140,10 @@
     capacity.free = w.report.capacity;
     capacity.accepts_tasks = accepts_work(state, w, now_ms);
     capacity.in_use = !w.assigned.empty() || !w.orphaned_runs.empty();
+    const auto known_speed = state.speeds.by_worker.find(capacity.id);
+    if (known_speed != state.speeds.by_worker.end()) {
+        capacity.speed = known_speed->second.speed;
+    }
     resources ending;
     for (const auto& task : w.assigned) {
         const task_ref ref = find_task(state, task);
@@ -150,7 +185,8 @@
 }
 
 bool eligible(const worker_capacity& capacity, const task_group_request& request) {
-    if (!capacity.accepts_tasks || capacity.host->report.pool != request.owner->spec.policy.pool) {
+    if (!capacity.accepts_tasks || !contains(request.speeds, capacity.speed) ||
+        capacity.host->report.pool != request.owner->spec.policy.pool) {
         return false;
     }
     const std::string& rack = capacity.host->report.rack;
@@ -174,17 +210,23 @@
            tasks->second < request.spec->max_tasks_per_worker;
 }
 
-bool may_fit(const capacity_index& capacities, search_scope scope, const resources& need,
-             std::size_t count, capacity_kind kind) {
-    if (scope == all_racks) {
-        return kind == capacity_kind::free_after_stops ||
-               need.accelerators * static_cast<std::int64_t>(count) <=
-                   capacities.free_accelerators();
-    }
-    const std::int64_t available = kind == capacity_kind::free
-                                       ? scope->free_accelerators
-                                       : scope->free_accelerators_after_stops;
-    return need.accelerators * static_cast<std::int64_t>(count) <= available;
+bool may_fit(const capacity_index& capacities, search_scope scope,
+             const task_group_request& request, std::size_t count, capacity_kind kind) {
+    if (scope == all_racks && kind == capacity_kind::free_after_stops) {
+        return true;
+    }
+    const resources need = booked_resources(*request.spec);
+    const accelerators_by_speed& sums =
+        scope == all_racks ? capacities.by_speed() : scope->by_speed;
+    const auto& available = kind == capacity_kind::free ? sums.free : sums.free_after_stops;
+    std::int64_t accelerators = 0;
+    for (std::size_t speed = 0; speed < speed_class_count; ++speed) {
+        accelerators += request.speeds[speed] ? available[speed] : 0;
+    }
+    if (need.accelerators * static_cast<std::int64_t>(count) > accelerators) {
+        return false;
+    }
+    return scope == all_racks || has_room(capacities, *scope, request, need, count, kind);
 }
 
 std::vector<worker_index> book_best_fit(capacity_index& capacities, search_scope scope,
