--- a/libs/node/tests/node_settings_test.cpp
+++ b/libs/node/tests/node_settings_test.cpp
@@ -1,6 +1,7 @@
 #include "node/node_settings.h"
 
 #include <catch2/catch.hpp>
+#include <string>
 
 namespace fulmarworks::node {
 
