Scheduler: run times learned from finished runs, and capacity that becomes free by itself

Cause: callers' estimates are off by a factor of up to several times, and an urgent group stopped runs that would have ended within the time that the stop takes (docs/design/uneven-load.md, part 5). Change: expected_run holds the learned expectation of a step, the remaining time of a run, the limit of a run at 100 percent and the samples of ended runs. Objective and remaining critical path, leaving workers and the stall limit use it. expected_ends marks runs whose progress shows that they end within the time of a stop. An urgent group waits for them for that time at most, and they are not stopped while other runs are enough. Without evidence or with learned_run_times off, decisions are as before. Tests: the simulated clusters report progress from the age of a run. It was the clock modulo 100, which has no relation to the run; with expected ends it would be false evidence. The capacity index test also compares the new capacity.

--- a/libs/scheduler/include/scheduler/capacity_index.h
+++ b/libs/scheduler/include/scheduler/capacity_index.h
@@ -26,6 +26,8 @@
     resources free;
     /** `free` plus the resources of runs that are being stopped. */
     resources free_after_stops;
+    /** `free_after_stops` plus the resources of runs that are expected to end soon. */
+    resources free_after_ends;
     /** Whether new tasks may be placed on the worker. */
     bool accepts_tasks = false;
     /** Whether any run is assigned to the worker or still active there. */
@@ -45,6 +47,7 @@
     std::vector<worker_index> workers;
     std::int64_t free_accelerators = 0;
     std::int64_t free_accelerators_after_stops = 0;
+    std::int64_t free_accelerators_after_ends = 0;
     std::int64_t all_accelerators = 0;
 };
 
@@ -53,6 +56,7 @@
     worker_index index = 0;
     resources free;
     resources free_after_stops;
+    resources free_after_ends;
 };
 
 /**
@@ -98,9 +102,12 @@
 
     /** Returns the workers of a pool that accept tasks, in the order of a best-fit search. */
     [[nodiscard]] const std::set<search_key>& accepting_workers(const std::string& pool) const;
-    /** Returns the workers that accept tasks and have runs that are being stopped. */
-    [[nodiscard]] const std::set<worker_index>& workers_with_stops() const {
-        return workers_with_stops_;
+    /**
+     * Returns the workers that accept tasks and have runs that are being stopped or are expected to
+     * end soon.
+     */
+    [[nodiscard]] const std::set<worker_index>& workers_with_ending_runs() const {
+        return workers_with_ending_runs_;
     }
 
     /** Returns the rack with this name; null if no worker is there. */
@@ -136,7 +143,7 @@
     std::vector<worker_index> unused_indices_;
     std::unordered_map<std::string, worker_index> index_by_worker_;
     std::map<std::string, std::set<search_key>> accepting_;
-    std::set<worker_index> workers_with_stops_;
+    std::set<worker_index> workers_with_ending_runs_;
     std::map<std::string, rack_capacity> racks_;
     std::map<rack_key, const rack_capacity*> racks_by_free_;
     std::set<std::string> stale_workers_;
--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -67,6 +68,13 @@
     /** Monotonic time of the last change of `percent`. */
     time_ms progressed_at_ms = 0;
     time_ms started_at_ms = 0;
+    /**
+     * Whether this leader sent the start of the current run, and the run did not resume from a
+     * checkpoint. Only then do its age and progress describe the whole task.
+     */
+    bool observed_from_start = false;
+    /** Whether the run is expected to end within the time that stopping a run takes. */
+    bool ends_soon = false;
     /** Whether the placement is stored, so that the run may start. */
     bool start_allowed = false;
     /** Monotonic time of the latest order in the current phase. */
@@ -117,6 +125,10 @@
     time_ms accepted_at_ms = 0;
     /** Monotonic time at which the job reached a final state; 0 while it is active. */
     time_ms ended_at_ms = 0;
+    /** Expected run time of a task of each step; empty before the job is first planned. */
+    std::vector<time_ms> expected_step_run_ms;
+    /** Monotonic time at which `expected_step_run_ms` was computed. */
+    time_ms expected_at_ms = 0;
     /** State reported to callers; never ahead of the stored state. */
     job_state visible_state = job_state::queued;
 
@@ -130,8 +142,11 @@
 [[nodiscard]] bool dependencies_complete(const job_spec& spec, const occurrence& o,
                                          std::uint32_t step);
 
-/** Returns the estimated duration of the critical path. Thread safe. */
-[[nodiscard]] time_ms critical_path_ms(const job_spec& spec);
+/**
+ * Returns the duration of the critical path in milliseconds. Precondition: `step_run_ms` has the
+ * run time of a task of each step. Thread safe.
+ */
+[[nodiscard]] time_ms critical_path_ms(const job_spec& spec, std::span<const time_ms> step_run_ms);
 
 /**
  * Returns the largest number of accelerators that all tasks of one step need together. Thread safe.
--- a/libs/scheduler/src/capacity.cpp
+++ b/libs/scheduler/src/capacity.cpp
@@ -13,10 +13,6 @@
            w.quarantined_until_ms <= now_ms;
 }
 
-const resources& available_in(const worker_capacity& capacity, capacity_kind kind) {
-    return kind == capacity_kind::free ? capacity.free : capacity.free_after_stops;
-}
-
 /** Returns whether tasks of the request may run beside the other jobs' runs on the worker. */
 bool keeps_isolation(const worker_capacity& capacity, const task_group_request& request) {
     if (capacity.suspect != nullptr) {
@@ -69,10 +65,9 @@
             continue;
         }
         const worker_capacity& capacity = capacities.at(index);
-        // Workers with pending stops are ordered by their current free capacity, so a search in
-        // `free_after_stops` examines them separately.
-        const bool ordered =
-            kind == capacity_kind::free || capacity.free == capacity.free_after_stops;
+        // Workers with pending stops or expected ends are ordered by their current free capacity,
+        // so a search in a later capacity examines them separately.
+        const bool ordered = capacity.free == available_in(capacity, kind);
         if (ordered && need.cpu_millis <= capacity.free.cpu_millis && eligible(capacity, request)) {
             best.consider(*it);
             return;
@@ -92,8 +87,8 @@
         return best.index();
     }
     search_by_best_fit(best, capacities, request, need, kind);
-    if (kind == capacity_kind::free_after_stops) {
-        for (const worker_index index : capacities.workers_with_stops()) {
+    if (kind != capacity_kind::free) {
+        for (const worker_index index : capacities.workers_with_ending_runs()) {
             consider_worker(best, capacities, index, request, need, kind);
         }
     }
@@ -102,6 +97,15 @@
 
 } // namespace
 
+const resources& available_in(const worker_capacity& capacity, capacity_kind kind) {
+    switch (kind) {
+    case capacity_kind::free: return capacity.free;
+    case capacity_kind::free_after_stops: return capacity.free_after_stops;
+    case capacity_kind::free_after_ends: return capacity.free_after_ends;
+    }
+    return capacity.free;
+}
+
 worker_capacity compute_capacity(coordinator_state& state, const worker& w, time_ms now_ms) {
     worker_capacity capacity;
     capacity.id = w.report.incarnation.id;
@@ -110,6 +114,7 @@
     capacity.accepts_tasks = accepts_work(state, w, now_ms);
     capacity.in_use = !w.assigned.empty() || !w.orphaned_runs.empty();
     resources ending;
+    resources expected_to_end;
     for (const auto& task : w.assigned) {
         const task_ref ref = find_task(state, task);
         if (!ref) {
@@ -118,6 +123,8 @@
         capacity.free -= booked_resources(*ref.spec);
         if (ref.item->phase == task_phase::stopping) {
             ending += booked_resources(*ref.spec);
+        } else if (ref.item->phase == task_phase::running && ref.item->ends_soon) {
+            expected_to_end += booked_resources(*ref.spec);
         }
         capacity.has_unproven_run = capacity.has_unproven_run || !ref.item->proven;
         if (!ref.item->proven && is_suspect(ref.item->losses)) {
@@ -132,6 +139,8 @@
     }
     capacity.free_after_stops = capacity.free;
     capacity.free_after_stops += ending;
+    capacity.free_after_ends = capacity.free_after_stops;
+    capacity.free_after_ends += expected_to_end;
     return capacity;
 }
 
@@ -177,13 +186,15 @@
 bool may_fit(const capacity_index& capacities, search_scope scope, const resources& need,
              std::size_t count, capacity_kind kind) {
     if (scope == all_racks) {
-        return kind == capacity_kind::free_after_stops ||
+        return kind != capacity_kind::free ||
                need.accelerators * static_cast<std::int64_t>(count) <=
                    capacities.free_accelerators();
     }
-    const std::int64_t available = kind == capacity_kind::free
-                                       ? scope->free_accelerators
-                                       : scope->free_accelerators_after_stops;
+    std::int64_t available = scope->free_accelerators;
+    if (kind != capacity_kind::free) {
+        available = kind == capacity_kind::free_after_stops ? scope->free_accelerators_after_stops
+                                                            : scope->free_accelerators_after_ends;
+    }
     return need.accelerators * static_cast<std::int64_t>(count) <= available;
 }
 
@@ -205,7 +216,7 @@
 
 capacity_change book(capacity_index& capacities, task_group_request& request, worker_index index) {
     const resources taken = -booked_resources(*request.spec);
-    const capacity_change change{index, taken, taken};
+    const capacity_change change{index, taken, taken, taken};
     capacities.adjust(change);
     if (limits_tasks_per_worker(request)) {
         ++request.tasks_by_worker[capacities.at(index).id];
@@ -217,7 +228,7 @@
             std::span<const worker_index> chosen) {
     const resources taken = -booked_resources(*request.spec);
     for (const worker_index index : chosen) {
-        capacities.revert({index, taken, taken});
+        capacities.revert({index, taken, taken, taken});
         if (limits_tasks_per_worker(request)) {
             --request.tasks_by_worker[capacities.at(index).id];
         }
--- a/libs/scheduler/src/capacity.h
+++ b/libs/scheduler/src/capacity.h
@@ -43,12 +43,21 @@
 /** Returns whether the worker may run tasks of the request, regardless of its free capacity. */
 [[nodiscard]] bool eligible(const worker_capacity& capacity, const task_group_request& request);
 
-enum class capacity_kind { free, free_after_stops };
+enum class capacity_kind { free, free_after_stops, free_after_ends };
+
+/** Returns the capacity of a worker of one kind. */
+[[nodiscard]] const resources& available_in(const worker_capacity& capacity, capacity_kind kind);
 
 /** Workers to search: one rack, or all workers of the pool if null. */
 using search_scope = const rack_capacity*;
 inline constexpr search_scope all_racks = nullptr;
 
+/**
+ * Maximum number of racks that are compared for one gang: more than current deployments have, and
+ * few enough for a decision within a millisecond at the target size.
+ */
+inline constexpr std::size_t max_racks_compared = 50;
+
 /** Returns whether `count` tasks may fit, judging by accelerators alone. */
 [[nodiscard]] bool may_fit(const capacity_index& capacities, search_scope scope,
                            const resources& need, std::size_t count, capacity_kind kind);
--- a/libs/scheduler/src/capacity_index.cpp
+++ b/libs/scheduler/src/capacity_index.cpp
@@ -64,6 +64,7 @@
     remove_from_index(change.index);
     capacities_[change.index].free += change.free;
     capacities_[change.index].free_after_stops += change.free_after_stops;
+    capacities_[change.index].free_after_ends += change.free_after_ends;
     add_to_index(change.index);
     mark_stale(capacities_[change.index].id);
 }
@@ -80,6 +81,7 @@
     remove_from_index(change.index);
     capacities_[change.index].free -= change.free;
     capacities_[change.index].free_after_stops -= change.free_after_stops;
+    capacities_[change.index].free_after_ends -= change.free_after_ends;
     add_to_index(change.index);
 }
 
@@ -124,13 +126,14 @@
     }
     accepting_[locations_[index].pool].emplace(capacity.free.accelerators, capacity.free.memory_mb,
                                                index);
-    if (capacity.free != capacity.free_after_stops) {
-        workers_with_stops_.insert(index);
+    if (capacity.free != capacity.free_after_ends) {
+        workers_with_ending_runs_.insert(index);
     }
     const auto rack = racks_.find(locations_[index].rack);
     racks_by_free_.erase({rack->second.free_accelerators, rack->first});
     rack->second.free_accelerators += summable_accelerators(capacity.free);
     rack->second.free_accelerators_after_stops += summable_accelerators(capacity.free_after_stops);
+    rack->second.free_accelerators_after_ends += summable_accelerators(capacity.free_after_ends);
     rack->second.all_accelerators += locations_[index].accelerators;
     racks_by_free_.emplace(rack_key(rack->second.free_accelerators, rack->first), &rack->second);
     free_accelerators_ += summable_accelerators(capacity.free);
@@ -144,11 +147,12 @@
     }
     accepting_[locations_[index].pool].erase(
         {capacity.free.accelerators, capacity.free.memory_mb, index});
-    workers_with_stops_.erase(index);
+    workers_with_ending_runs_.erase(index);
     const auto rack = racks_.find(locations_[index].rack);
     racks_by_free_.erase({rack->second.free_accelerators, rack->first});
     rack->second.free_accelerators -= summable_accelerators(capacity.free);
     rack->second.free_accelerators_after_stops -= summable_accelerators(capacity.free_after_stops);
+    rack->second.free_accelerators_after_ends -= summable_accelerators(capacity.free_after_ends);
     rack->second.all_accelerators -= locations_[index].accelerators;
     racks_by_free_.emplace(rack_key(rack->second.free_accelerators, rack->first), &rack->second);
     free_accelerators_ -= summable_accelerators(capacity.free);
--- a/libs/scheduler/src/gang_reservation.cpp
+++ b/libs/scheduler/src/gang_reservation.cpp
@@ -24,10 +24,9 @@
     progress.reserved_until_ms = now_ms + state.limits.stop_timeout_ms + reservation_margin_ms;
 }
 
-std::optional<std::vector<worker_index>> claim_reservation(coordinator_state& state,
-                                                           const task_group& group,
-                                                           task_group_request& request,
-                                                           time_ms now_ms, bool& waiting) {
+std::optional<std::vector<worker_index>>
+claim_reservation(coordinator_state& state, const task_group& group, task_group_request& request,
+                  capacity_kind kind, time_ms now_ms, bool& waiting) {
     step_progress& progress = group.parent->steps[group.step];
     waiting = false;
     const resources need = booked_resources(group.spec());
@@ -36,7 +35,7 @@
     for (const auto& id : progress.reserved_on) {
         const worker_index* found = state.capacities.find(id);
         if (found == nullptr || !eligible(state.capacities.at(*found), request) ||
-            !fits(need, state.capacities.at(*found).free_after_stops)) {
+            !fits(need, available_in(state.capacities.at(*found), kind))) {
             break;
         }
         free = free && fits(need, state.capacities.at(*found).free);
--- a/libs/scheduler/src/job.cpp
+++ b/libs/scheduler/src/job.cpp
@@ -36,7 +36,7 @@
     });
 }
 
-time_ms critical_path_ms(const job_spec& spec) {
+time_ms critical_path_ms(const job_spec& spec, std::span<const time_ms> step_run_ms) {
     std::vector<time_ms> ends(spec.steps.size(), 0);
     time_ms longest = 0;
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
@@ -44,7 +44,7 @@
         for (const std::uint32_t dependency : spec.steps[i].depends_on) {
             begin = dependency < i ? std::max(begin, ends[dependency]) : begin;
         }
-        ends[i] = begin + spec.steps[i].estimate_ms;
+        ends[i] = begin + step_run_ms[i];
         longest = std::max(longest, ends[i]);
     }
     return longest;
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "lifecycle.h"
 
+#include "expected_run.h"
 #include "overbooking.h"
 
 #include <algorithm>
@@ -187,6 +188,8 @@
     t.start_expires_at_worker_ms = 0;
     t.confirmed_at_ms = 0;
     t.proven = false;
+    t.observed_from_start = false;
+    t.ends_soon = false;
     t.lost = false;
     t.start_delayed = false;
     t.start_allowed = false;
@@ -203,7 +206,10 @@
     worker& w = ctx.state.workers.at(t.where.id);
     t.phase = task_phase::ordered;
     t.ordered_at_ms = ctx.now.monotonic_ms;
-    t.started_at_ms = t.order_attempts == 0 ? ctx.now.monotonic_ms : t.started_at_ms;
+    if (t.order_attempts == 0) {
+        t.started_at_ms = ctx.now.monotonic_ms;
+        t.observed_from_start = t.checkpoint.empty();
+    }
     ++t.order_attempts;
     const time_ms deadline = worker_clock(w, ctx.now.monotonic_ms) + start_validity_ms;
     t.start_expires_at_worker_ms = std::max(t.start_expires_at_worker_ms, deadline);
@@ -296,6 +302,7 @@
         if (worker* w = find_worker(ctx.state, ref.item->where.id)) {
             w->failed_jobs.clear();
         }
+        record_run_time(ctx.state, ref, ctx.now.monotonic_ms);
         complete(ctx, ref, end);
     } else {
         if (end.reason == end_reason::failed) {
--- a/libs/scheduler/src/run_supervision.cpp
+++ b/libs/scheduler/src/run_supervision.cpp
@@ -1,5 +1,7 @@
 #include "run_supervision.h"
 
+#include "expected_ends.h"
+#include "expected_run.h"
 #include "stall_evidence.h"
 
 #include <algorithm>
@@ -47,6 +49,10 @@
     const auto is_stalled = [&](const task_ref& ref, bool worker_has_stalled_run) {
         progress_observation o = observe_progress(*ref.item, now);
         o.worker_has_stalled_run = worker_has_stalled_run;
+        if (judge_progress(o) == progress_verdict::advancing) {
+            return false;
+        }
+        o.usual_overrun_ms = usual_overrun_ms(ctx.state, ref, now);
         return w.answered_at_ms >= ref.item->progressed_at_ms &&
                judge_progress(o) == progress_verdict::stalled;
     };
@@ -84,19 +90,6 @@
     }
 }
 
-/**
- * Returns the estimated remaining run time, extrapolated from the progress so far; -1 while
- * unknown.
- */
-time_ms remaining_run_ms(const task& t, time_ms now_ms) {
-    if (t.percent <= 0) {
-        return -1;
-    }
-    const time_ms run_for = t.progressed_at_ms - t.started_at_ms;
-    const time_ms left = run_for * (complete_percent - t.percent) / t.percent;
-    return std::max<time_ms>(0, left - (now_ms - t.progressed_at_ms));
-}
-
 /**
  * Stops tasks that can't finish before their worker leaves.
  *
@@ -109,7 +102,8 @@
     }
     const time_ms left = w.leaves_at_ms - ctx.now.monotonic_ms;
     const auto unfinishable = pick_running(ctx, w, [&](const task_ref& ref) {
-        return remaining_run_ms(*ref.item, ctx.now.monotonic_ms) > left + evacuation_margin_ms;
+        const auto remaining = expected_remaining_ms(ctx.state, ref, ctx.now.monotonic_ms);
+        return remaining && *remaining > left + evacuation_margin_ms;
     });
     for (const auto& name : unfinishable) {
         const task_ref ref = find_task(ctx.state, name);
@@ -124,6 +118,7 @@
 void supervise_runs(reduce_context& ctx, worker& w) {
     stop_stalled_tasks(ctx, w);
     evacuate_leaving_worker(ctx, w);
+    update_expected_ends(ctx, w);
 }
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -1,6 +1,7 @@
 #include "start_planner.h"
 
 #include "capacity.h"
+#include "expected_ends.h"
 #include "gang_reservation.h"
 #include "lookup.h"
 #include "suspect_isolation.h"
@@ -28,12 +29,6 @@
  */
 constexpr double mostly_idle_share = 0.4;
 constexpr time_ms mostly_idle_rack_wait_ms = 1500;
-/**
- * Maximum number of racks that are compared for one gang: more than current deployments have, and
- * few enough for a decision within a millisecond at the target size.
- */
-constexpr std::size_t max_racks_compared = 50;
-
 struct planning_context {
     coordinator_state& state;
     time_ms now_ms = 0;
@@ -194,37 +189,35 @@
     return place_all_tasks(p, group, best_rack, request, kind);
 }
 
-/** Returns the cheapest set of runs to stop in one of the preferred racks. */
-std::optional<victim_selection> find_cheapest_selection(planning_context& p,
-                                                        const task_group& group,
-                                                        std::span<const search_scope> racks,
-                                                        const task_group_request& request) {
-    std::optional<victim_selection> best;
-    std::size_t tried = 0;
-    const auto needed = booked_resources(group.spec()).accelerators *
-                        static_cast<std::int64_t>(group.spec().gang ? group.tasks.size() : 1);
-    // Start with the racks that have the most free accelerators, as they need the fewest stops.
-    for (auto rack = racks.rbegin(); rack != racks.rend() && tried < max_racks_compared; ++rack) {
-        if ((*rack)->all_accelerators < needed) {
-            continue;
-        }
-        ++tried;
-        auto selection = select_victims(p.state, *rack, p.victims, group, request);
-        if (selection && (!best || selection->cost < best->cost)) {
-            best = std::move(selection);
-        }
-    }
-    return best;
+/** Returns the cheapest set of runs to stop, in a preferred rack if possible. */
+std::optional<victim_selection> find_selection(planning_context& p, const task_group& group,
+                                               const task_group_request& request,
+                                               ending_run_use ending_runs) {
+    const auto racks = preferred_racks(p, group);
+    return select_victims(p.state, racks, may_run_anywhere(p, group, !racks.empty()), p.victims,
+                          group, request, ending_runs);
+}
+
+bool may_rely_on_ends(const planning_context& p, const task_group& group) {
+    return may_rely_on_ends(p.state.limits, group, p.now_ms);
 }
 
 /**
  * Stops runs to free capacity for an urgent group, in the preferred rack where that costs least.
+ * While the group may rely on expected ends, they count as free capacity; after that, runs that are
+ * expected to end are stopped only if the others are not enough.
  */
 void preempt(planning_context& p, const task_group& group, const task_group_request& request) {
-    const auto racks = preferred_racks(p, group);
-    auto selection = find_cheapest_selection(p, group, racks, request);
-    if (!selection && may_run_anywhere(p, group, !racks.empty())) {
-        selection = select_victims(p.state, all_racks, p.victims, group, request);
+    std::optional<victim_selection> selection;
+    if (may_rely_on_ends(p, group)) {
+        selection = find_selection(p, group, request, ending_run_use::awaited);
+    } else {
+        if (p.state.limits.learned_run_times) {
+            selection = find_selection(p, group, request, ending_run_use::spared);
+        }
+        if (!selection) {
+            selection = find_selection(p, group, request, ending_run_use::stopped);
+        }
     }
     if (!selection) {
         return;
@@ -242,7 +235,10 @@
     task_group_request request = make_request(p, group);
     bool waiting = false;
     if (!group.parent->steps[group.step].reserved_on.empty()) {
-        if (const auto chosen = claim_reservation(p.state, group, request, p.now_ms, waiting)) {
+        const auto kind = may_rely_on_ends(p, group) ? capacity_kind::free_after_ends
+                                                     : capacity_kind::free_after_stops;
+        if (const auto chosen =
+                claim_reservation(p.state, group, request, kind, p.now_ms, waiting)) {
             add_placements(p, group, *chosen);
             return;
         }
@@ -259,9 +255,18 @@
     }
     // Capacity that is about to become free is booked for this group, so that later groups can't
     // take it.
-    if (!place_gang(p, group, request, capacity_kind::free_after_stops)) {
-        preempt(p, group, request);
+    if (place_gang(p, group, request, capacity_kind::free_after_stops)) {
+        return;
     }
+    if (may_rely_on_ends(p, group)) {
+        const auto chosen = place_gang(p, group, request, capacity_kind::free_after_ends);
+        if (chosen) {
+            // Without a reservation the next plan might choose another rack.
+            reserve_capacity(p.state, group, *chosen, p.now_ms);
+            return;
+        }
+    }
+    preempt(p, group, request);
 }
 
 /** Returns whether the resources of the group's tasks are known not to fit on any worker now. */
@@ -319,13 +324,20 @@
     if (!urgent || group.tasks.empty()) {
         return;
     }
-    const auto chosen = book_best_fit(p.capacities(), all_racks, request, group.tasks.size(),
-                                      capacity_kind::free_after_stops);
-    if (chosen.size() < group.tasks.size()) {
+    std::vector capacities_to_come{capacity_kind::free_after_stops};
+    if (may_rely_on_ends(p, group)) {
+        capacities_to_come.push_back(capacity_kind::free_after_ends);
+    }
+    for (const auto kind : capacities_to_come) {
+        const auto chosen =
+            book_best_fit(p.capacities(), all_racks, request, group.tasks.size(), kind);
         group.tasks.erase(group.tasks.begin(),
                           group.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
-        preempt(p, group, request);
+        if (group.tasks.empty()) {
+            return;
+        }
     }
+    preempt(p, group, request);
 }
 
 /** Plans the tasks of a step. Each suspect is planned alone, because its runs are isolated. */
--- a/libs/scheduler/src/task_groups.cpp
+++ b/libs/scheduler/src/task_groups.cpp
@@ -1,5 +1,6 @@
 #include "task_groups.h"
 
+#include "expected_run.h"
 #include "lookup.h"
 
 #include <algorithm>
@@ -13,27 +14,30 @@
 /** After this multiple of its latency objective, a job is no longer useful to its caller. */
 constexpr int useful_objective_multiple = 3;
 
-time_ms objective_ms(const job_spec& spec) {
+time_ms objective_ms(const job_spec& spec, std::span<const time_ms> step_run_ms) {
     return static_cast<time_ms>(spec.policy.slack_factor *
-                                static_cast<double>(critical_path_ms(spec))) +
+                                static_cast<double>(critical_path_ms(spec, step_run_ms))) +
            spec.policy.latency_objective_ms;
 }
 
-/** Returns the estimated time from the start of `step` to the end of the job. */
-time_ms remaining_critical_path_ms(const job_spec& spec, std::uint32_t step) {
+/** Returns the expected time from the start of `step` to the end of the job. */
+time_ms remaining_critical_path_ms(const job_spec& spec, std::span<const time_ms> step_run_ms,
+                                   std::uint32_t step) {
     time_ms longest_after = 0;
     for (std::uint32_t i = step + 1; i < spec.steps.size(); ++i) {
         const auto& dependencies = spec.steps[i].depends_on;
         if (std::find(dependencies.begin(), dependencies.end(), step) != dependencies.end()) {
-            longest_after = std::max(longest_after, remaining_critical_path_ms(spec, i));
+            longest_after =
+                std::max(longest_after, remaining_critical_path_ms(spec, step_run_ms, i));
         }
     }
-    return spec.steps[step].estimate_ms + longest_after;
+    return step_run_ms[step] + longest_after;
 }
 
-urgency classify(const task_group& group, time_ms objective_start_ms, bool guaranteed,
-                 time_ms now_ms) {
-    const time_ms ends_at = now_ms + remaining_critical_path_ms(group.owner->spec, group.step);
+urgency classify(const task_group& group, std::span<const time_ms> step_run_ms,
+                 time_ms objective_start_ms, bool guaranteed, time_ms now_ms) {
+    const time_ms ends_at =
+        now_ms + remaining_critical_path_ms(group.owner->spec, step_run_ms, group.step);
     if (guaranteed) {
         return urgency::guaranteed;
     }
@@ -72,8 +76,9 @@
  * Adds the steps of a job that can be placed now. Returns whether any task of the job is idle or
  * waits for a dependency.
  */
-bool collect_job(job& j, bool guaranteed, time_ms now_ms, std::vector<task_group>& groups) {
-    const time_ms objective = objective_ms(j.spec);
+bool collect_job(job& j, std::span<const time_ms> step_run_ms, bool guaranteed, time_ms now_ms,
+                 std::vector<task_group>& groups) {
+    const time_ms objective = objective_ms(j.spec, step_run_ms);
     bool idle = false;
     for (auto& o : j.occurrences) {
         for (std::uint32_t s = 0; s < o.steps.size(); ++s) {
@@ -92,7 +97,7 @@
             const time_ms objective_start =
                 j.spec.repeat_count > 0 ? progress.ready_at_ms : j.accepted_at_ms;
             group.objective_at_ms = objective_start + objective;
-            group.urgency_class = classify(group, objective_start, guaranteed, now_ms);
+            group.urgency_class = classify(group, step_run_ms, objective_start, guaranteed, now_ms);
             idle = collect_step(std::move(group), groups) || idle;
         }
     }
@@ -110,13 +115,15 @@
 
 std::vector<task_group> collect_task_groups(coordinator_state& state, time_ms now_ms) {
     std::vector<task_group> groups;
+    expectation_refresh refresh = begin_expectation_refresh(now_ms);
     for (auto id = state.waiting_jobs.begin(); id != state.waiting_jobs.end();) {
         const auto found = state.jobs.find(*id);
         const bool active = found != state.jobs.end() && !found->second->ended() &&
                             !state.unreadable_jobs.contains(*id);
         const bool waits =
             active &&
-            collect_job(*found->second, is_guaranteed(state, *found->second), now_ms, groups);
+            collect_job(*found->second, expected_step_run_ms(state, *found->second, refresh),
+                        is_guaranteed(state, *found->second), now_ms, groups);
         id = waits ? std::next(id) : state.waiting_jobs.erase(id);
     }
     std::sort(groups.begin(), groups.end(), [](const task_group& a, const task_group& b) {
--- a/libs/scheduler/src/urgent_headroom.cpp
+++ b/libs/scheduler/src/urgent_headroom.cpp
@@ -1,14 +1,13 @@
 #include "urgent_headroom.h"
 
+#include "expected_ends.h"
+
 #include <algorithm>
 
 namespace fulmarworks::scheduler {
 
 namespace {
 
-/** Time from the decision to stop runs until others have started in their place, beyond the stop
- * timeout: storing, polling and the orders. */
-constexpr time_ms stop_overhead_ms = 600;
 /** Largest share of all accelerators that is kept free. */
 constexpr double max_headroom_share = 0.15;
 
@@ -17,7 +16,7 @@
 std::int64_t headroom_accelerators(const urgent_arrivals& arrivals, const settings& limits,
                                    std::int64_t all, time_ms now_ms) {
     const double refill_s =
-        static_cast<double>(limits.stop_timeout_ms + stop_overhead_ms) / milliseconds_per_second;
+        static_cast<double>(stop_and_restart_ms(limits)) / milliseconds_per_second;
     const double wanted = std::max(arrivals.accelerators_per_s(now_ms) * refill_s,
                                    arrivals.mean_accelerators(now_ms));
     return static_cast<std::int64_t>(
--- a/libs/scheduler/src/victim_selection.cpp
+++ b/libs/scheduler/src/victim_selection.cpp
@@ -56,12 +56,14 @@
         v.members.push_back(id);
         v.freed_resources = booked_resources(*ref.spec);
         v.cost = preemption_cost(*ref.item, *ref.spec, now_ms);
+        v.ends_soon = ref.item->ends_soon;
         return v;
     }
     for (std::uint32_t i = 0; i < ref.progress->tasks.size(); ++i) {
         const task& member = ref.progress->tasks[i];
         if (is_stoppable(member.phase)) {
             v.members.push_back({id.job, id.occurrence, id.step, i});
+            v.ends_soon = v.ends_soon || member.ends_soon;
             v.cost += preemption_cost(member, *ref.spec, now_ms);
             if (member.where.id == ref.item->where.id) {
                 v.freed_resources += booked_resources(*ref.spec);
@@ -96,9 +98,14 @@
     coordinator_state& state;
     victim_table& table;
     task_group_request request;
+    ending_run_use ending_runs = ending_run_use::stopped;
     std::set<task_id> stopped;
     victim_selection selection;
 
+    [[nodiscard]] capacity_kind base_capacity() const {
+        return ending_runs == ending_run_use::awaited ? capacity_kind::free_after_ends
+                                                      : capacity_kind::free_after_stops;
+    }
     void change(const capacity_change& c) {
         state.capacities.adjust(c);
         selection.changes.push_back(c);
@@ -116,13 +123,14 @@
 std::optional<stop_option> find_cheapest_stops(selection_attempt& a, worker_index index) {
     const worker_capacity& capacity = a.state.capacities.at(index);
     const resources need = booked_resources(*a.request.spec);
-    resources free_after_stops = capacity.free_after_stops;
+    resources free_after_stops = available_in(capacity, a.base_capacity());
     stop_option option{index, 0, {}};
     for (const auto& v : victims_of(a.state, a.table, index)) {
         if (fits(need, free_after_stops)) {
             break;
         }
-        if (a.stopped.contains(v.members.front())) {
+        const bool kept = v.ends_soon && a.ending_runs != ending_run_use::stopped;
+        if (kept || a.stopped.contains(v.members.front())) {
             continue;
         }
         free_after_stops += v.freed_resources;
@@ -139,7 +147,9 @@
         }
         const task_ref ref = find_task(a.state, id);
         if (const worker_index* index = a.state.capacities.find(ref.item->where.id)) {
-            a.change({*index, {}, booked_resources(*ref.spec)});
+            const resources freed = booked_resources(*ref.spec);
+            const bool counted = ref.item->phase == task_phase::running && ref.item->ends_soon;
+            a.change({*index, {}, freed, counted ? resources{} : freed});
         }
     }
 }
@@ -180,12 +190,12 @@
     return true;
 }
 
-} // namespace
-
-std::optional<victim_selection> select_victims(coordinator_state& state, search_scope scope,
-                                               victim_table& table, const task_group& group,
-                                               const task_group_request& request) {
-    selection_attempt a{state, table, request, {}, {}};
+/** Selects runs to stop in one scope. */
+std::optional<victim_selection> select_in_scope(coordinator_state& state, search_scope scope,
+                                                victim_table& table, const task_group& group,
+                                                const task_group_request& request,
+                                                ending_run_use ending_runs) {
+    selection_attempt a{state, table, request, ending_runs, {}, {}};
     bool complete = true;
     for (std::size_t i = 0; complete && i < group.tasks.size(); ++i) {
         complete = place_one_task(a, scope);
@@ -200,6 +210,34 @@
     return std::move(a.selection);
 }
 
+} // namespace
+
+std::optional<victim_selection> select_victims(coordinator_state& state,
+                                               std::span<const search_scope> racks, bool anywhere,
+                                               victim_table& table, const task_group& group,
+                                               const task_group_request& request,
+                                               ending_run_use ending_runs) {
+    std::optional<victim_selection> best;
+    std::size_t tried = 0;
+    const auto needed = booked_resources(group.spec()).accelerators *
+                        static_cast<std::int64_t>(group.spec().gang ? group.tasks.size() : 1);
+    // Start with the racks that have the most free accelerators, as they need the fewest stops.
+    for (auto rack = racks.rbegin(); rack != racks.rend() && tried < max_racks_compared; ++rack) {
+        if ((*rack)->all_accelerators < needed) {
+            continue;
+        }
+        ++tried;
+        auto selection = select_in_scope(state, *rack, table, group, request, ending_runs);
+        if (selection && (!best || selection->cost < best->cost)) {
+            best = std::move(selection);
+        }
+    }
+    if (!best && anywhere) {
+        best = select_in_scope(state, all_racks, table, group, request, ending_runs);
+    }
+    return best;
+}
+
 void commit_selection(capacity_index& capacities, victim_table& table,
                       const victim_selection& selection) {
     for (const auto& change : selection.changes) {
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -1,5 +1,6 @@
 #include "worker_sync.h"
 
+#include "expected_run.h"
 #include "lease.h"
 #include "worker_loss.h"
 
@@ -302,6 +303,7 @@
         ctx.state.plan_needed = true;
         ctx.state.capacities.mark_stale(answer.worker);
         log_decision(ctx, "worker_reachable", "worker=" + answer.worker);
+        exclude_from_statistics(ctx.state, answer.status.ended);
     }
     if (std::exchange(w.earlier_leader_may_renew, false)) {
         // From this answer on, the worker refuses the earlier leaders' orders.
--- a/libs/scheduler/tests/capacity_index_test.cpp
+++ b/libs/scheduler/tests/capacity_index_test.cpp
@@ -37,6 +37,7 @@
         REQUIRE(indexed.accepts_tasks == capacity.accepts_tasks);
         REQUIRE(indexed.free == capacity.free);
         REQUIRE(indexed.free_after_stops == capacity.free_after_stops);
+        REQUIRE(indexed.free_after_ends == capacity.free_after_ends);
         REQUIRE(indexed.in_use == capacity.in_use);
         REQUIRE(indexed.has_unproven_run == capacity.has_unproven_run);
         REQUIRE(indexed.suspect == capacity.suspect);
@@ -68,8 +69,7 @@
                           const task_group_request& request, capacity_kind kind) {
     std::optional<std::pair<std::int64_t, std::int64_t>> best;
     for (const auto& capacity : capacities) {
-        const resources& available =
-            kind == capacity_kind::free ? capacity.free : capacity.free_after_stops;
+        const resources& available = available_in(capacity, kind);
         const std::pair key(available.accelerators, available.memory_mb);
         if (fits(booked_resources(*request.spec), available) && eligible(capacity, request) &&
             (!best || key < *best)) {
@@ -87,8 +87,7 @@
     REQUIRE(chosen.empty() == !best.has_value());
     if (best) {
         const worker_capacity& capacity = index.at(chosen[0]);
-        resources before_booking =
-            kind == capacity_kind::free ? capacity.free : capacity.free_after_stops;
+        resources before_booking = available_in(capacity, kind);
         before_booking += booked_resources(*request.spec);
         REQUIRE(std::pair(before_booking.accelerators, before_booking.memory_mb) == *best);
         unbook(index, request, chosen);
@@ -120,6 +119,7 @@
     INFO("seed " << seed);
     random_cluster cluster(seed);
     coordinator_state& state = cluster.fixture().state;
+    int expected_ends = 0;
     for (int i = 0; i < steps_per_history; ++i) {
         cluster.step();
         const time_ms now = cluster.fixture().now.monotonic_ms;
@@ -133,8 +133,14 @@
                            capacity_kind::free);
             check_best_fit(state.capacities, expected, *state.jobs.rbegin()->second,
                            capacity_kind::free_after_stops);
+            check_best_fit(state.capacities, expected, *state.jobs.rbegin()->second,
+                           capacity_kind::free_after_ends);
+        }
+        for (const auto& capacity : expected) {
+            expected_ends += capacity.free_after_ends != capacity.free_after_stops ? 1 : 0;
         }
     }
+    REQUIRE(expected_ends > 0);
 }
 
 } // namespace
--- a/libs/scheduler/tests/random_cluster.cpp
+++ b/libs/scheduler/tests/random_cluster.cpp
@@ -4,6 +4,13 @@
 
 namespace fulmarworks::scheduler {
 
+namespace {
+
+/** Progress that a run makes between two polls. */
+constexpr int progress_step_percent = 8;
+
+} // namespace
+
 random_cluster::random_cluster(unsigned seed) : random_(seed) {
     for (int i = 0; i < worker_count; ++i) {
         report_worker("w" + std::to_string(i));
@@ -173,6 +180,9 @@
     worker_status status;
     status.started_wall_ms = w.started_wall_ms;
     status.clock_ms = fixture_.now.monotonic_ms;
+    for (auto& run : w.active) {
+        run.percent = std::min(100, run.percent + progress_step_percent);
+    }
     status.active = w.active;
     status.ended = w.ended;
     fixture_.send(poll_answered{order.where.id, fixture_.now.monotonic_ms, std::move(status)});
--- a/libs/scheduler/tests/simulated_cluster.cpp
+++ b/libs/scheduler/tests/simulated_cluster.cpp
@@ -108,9 +108,12 @@
     overbooking_starts_ += change_known && overbooks(w, order.task) ? 1 : 0;
     ++start_counts_[order.task];
     const auto& steps = job_specs_.at(order.task.job).steps;
+    const auto duration = durations_ms_.find(order.task.job);
+    const time_ms duration_ms =
+        duration == durations_ms_.end() ? steps[order.task.step].estimate_ms : duration->second;
     const auto crash_delay = crash_delays_ms_.find(order.task);
     w.runs[order.task] = {
-        order.run, now_.monotonic_ms + steps[order.task.step].estimate_ms, end_reason::done,
+        order.run, now_.monotonic_ms, now_.monotonic_ms + duration_ms, end_reason::done,
         crash_delay == crash_delays_ms_.end() ? 0 : now_.monotonic_ms + crash_delay->second};
     first_start_ms_.try_emplace(order.task, now_.monotonic_ms);
     if (crash_delay != crash_delays_ms_.end() && crash_delay->second == 0) {
@@ -173,8 +176,11 @@
     worker_status status;
     status.started_wall_ms = w.report.incarnation.started_wall_ms;
     status.clock_ms = now_.monotonic_ms;
-    const int percent = static_cast<int>(now_.monotonic_ms / 1000 % 100);
     for (const auto& [task, r] : w.runs) {
+        const time_ms usual_ms =
+            std::max<time_ms>(1, job_specs_.at(task.job).steps[task.step].estimate_ms);
+        const auto percent = static_cast<int>(
+            std::min<time_ms>(100, (now_.monotonic_ms - r.started_at_ms) * 100 / usual_ms));
         status.active.push_back({task, r.number, "", percent});
     }
     status.ended = w.ended;
--- a/libs/scheduler/tests/simulated_cluster.h
+++ b/libs/scheduler/tests/simulated_cluster.h
@@ -44,6 +44,11 @@
     void set_crashing_task(const task_id& task, time_ms after_ms = 0) {
         crash_delays_ms_[task] = after_ms;
     }
+    /** Lets the runs of a job take this long instead of its estimate. Progress still follows the
+     * estimate and stays at 100 percent after it. */
+    void set_duration(const std::string& job, time_ms duration_ms) {
+        durations_ms_[job] = duration_ms;
+    }
     void set_crash_outcome(crash_outcome outcome) { crash_outcome_ = outcome; }
     /** Lets a worker neither answer nor report for some time; its runs continue. */
     void cut_worker(const std::string& id, time_ms for_ms);
@@ -73,6 +78,7 @@
 private:
     struct simulated_run {
         std::uint32_t number = 0;
+        time_ms started_at_ms = 0;
         time_ms ends_at_ms = 0;
         end_reason reason = end_reason::done;
         /** Monotonic time at which the run crashes its worker; 0 if it doesn't. */
@@ -132,6 +138,7 @@
     std::map<std::string, int> stop_counts_;
     std::map<task_id, int> start_counts_;
     std::map<task_id, time_ms> crash_delays_ms_;
+    std::map<std::string, time_ms> durations_ms_;
     crash_outcome crash_outcome_ = crash_outcome::replaced;
     int crash_count_ = 0;
     int overbooking_starts_ = 0;
