Tests: runs close to their end are spared beside others and after the wait

Change: tests with a half worker's run to spare, and with a run whose progress slows down so that its end recedes.

--- a/libs/scheduler/tests/expected_ends_test.cpp
+++ b/libs/scheduler/tests/expected_ends_test.cpp
@@ -82,14 +82,20 @@
     CHECK(fleet.cluster.stop_count("long") == 4);
 }
 
-// The runs that are about to end are the newest, so they would be the cheapest to stop.
-TEST_CASE("a gang that needs more than the runs that are about to end spares those") {
-    full_fleet fleet(true, 4);
-    fleet.submit_gang("gang", 8);
-    fleet.cluster.run_for(1500);
-    CHECK(fleet.cluster.last_start_delay_ms("gang") >= 0);
-    CHECK(fleet.cluster.stop_count("ending") == 0);
-    CHECK(fleet.cluster.stop_count("long") >= 4);
+// The run that is about to end is the newer one, so it would be the cheaper one to stop.
+TEST_CASE("where a run that is about to end isn't enough, only the run beside it is stopped") {
+    coordinator_fixture f;
+    f.add_worker("w1");
+    f.run_job(f.make_job("long", 1, {1000, 1000, 4}));
+    f.advance(2000);
+    f.run_job(f.make_job("ending", 1, {1000, 1000, 4}));
+    f.advance(2000);
+    f.answer_poll("w1", {{{"long", 0, 0, 0}, 1, "", 5}, {{"ending", 0, 0, 0}, 1, "", 80}});
+    f.advance(100);
+    f.send(job_submitted{make_wide_job("urgent", 0, 1, 2500)});
+    const auto stops = f.take_all<send_stop>();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].task.job == "long");
 }
 
 // Runs at 100 percent may take seven times longer.
@@ -105,25 +111,30 @@
 }
 
 // A run whose progress slows down stays close to its expected end for any length of time.
-TEST_CASE("urgent work doesn't wait longer for a run whose expected end recedes") {
+TEST_CASE("urgent work doesn't wait longer for a run whose expected end recedes, nor stop it") {
     coordinator_fixture f;
     f.add_worker("w1");
     f.run_job(make_wide_job("long", 2, 1, 60'000));
-    const auto creep = [&](int percent) {
+    f.add_worker("w2");
+    f.run_job(make_wide_job("receding", 2, 1, 60'000));
+    const auto report = [&](int percent) {
         f.advance(200);
-        f.answer_poll("w1", {{{"long", 0, 0, 0}, 1, "", percent}});
+        f.answer_poll("w1", {{{"long", 0, 0, 0}, 1, "", percent / 10}});
+        f.answer_poll("w2", {{{"receding", 0, 0, 0}, 1, "", percent}});
         f.advance(50);
         f.advance(50);
     };
     for (const int percent : {20, 40, 60, 80, 82, 84, 85}) {
-        creep(percent);
+        report(percent);
     }
     f.send(job_submitted{make_wide_job("urgent", 0, 1, 2500)});
     for (int waited = 300; waited < ends_bound_ms; waited += 300) {
-        creep(85 + waited / 300);
+        report(85 + waited / 300);
         CHECK_FALSE(f.take<send_stop>());
     }
-    creep(89);
-    creep(90);
-    CHECK(f.take<send_stop>());
+    report(89);
+    report(90);
+    const auto stop = f.take<send_stop>();
+    REQUIRE(stop);
+    CHECK(stop->task.job == "long");
 }
