Scheduler: a plan refreshes the expectations of at most 16 jobs

Cause: with 128 jobs, coordinator_bench at 17,000 workers and a backlog showed plans of up to 626 us for preempt_for_urgent (base: 259 to 323 us). Change: 16 jobs a plan.

--- a/libs/scheduler/src/expected_run.cpp
+++ b/libs/scheduler/src/expected_run.cpp
@@ -13,7 +13,7 @@
  * Maximum number of jobs whose expectations one plan recomputes, so that a plan stays within a
  * millisecond. Jobs without expectations don't count.
  */
-constexpr std::size_t max_refreshed_jobs = 128;
+constexpr std::size_t max_refreshed_jobs = 16;
 /** Evidence from which the learned limit of a run at 100 percent is used: with a tail of 3%, a
  * smaller sample is likely to miss it. */
 constexpr double long_run_evidence = 100;
