--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -29,6 +29,7 @@
  */
 constexpr double mostly_idle_share = 0.4;
 constexpr time_ms mostly_idle_rack_wait_ms = 1500;
+
 struct planning_context {
     coordinator_state& state;
     time_ms now_ms = 0;
