--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,6 +71,11 @@
     time_ms started_at_ms = 0;
     /** Monotonic time at which the run started from the beginning; 0 if that is unknown. */
     time_ms measured_from_ms = 0;
+    /**
+     * Whether this leader sent the start of the current run, and the run did not resume from a
+     * checkpoint. Only then do its age and progress describe the whole task.
+     */
+    bool observed_from_start = false;
     /** Whether the placement is stored, so that the run may start. */
     bool start_allowed = false;
     /** Monotonic time of the latest order in the current phase. */
@@ -123,6 +129,10 @@
     time_ms accepted_at_ms = 0;
     /** Monotonic time at which the job reached a final state; 0 while it is active. */
     time_ms ended_at_ms = 0;
+    /** Expected run time of a task of each step; empty before the job is first planned. */
+    std::vector<time_ms> expected_step_run_ms;
+    /** Monotonic time at which `expected_step_run_ms` was computed. */
+    time_ms expected_at_ms = 0;
     /** State reported to callers; never ahead of the stored state. */
     job_state visible_state = job_state::queued;
 
@@ -136,8 +146,11 @@
 [[nodiscard]] bool dependencies_complete(const job_spec& spec, const occurrence& o,
                                          std::uint32_t step);
 
-/** Returns the estimated duration of the critical path. Thread safe. */
-[[nodiscard]] time_ms critical_path_ms(const job_spec& spec);
+/**
+ * Returns the duration of the critical path in milliseconds. Precondition: `step_run_ms` has the
+ * run time of a task of each step. Thread safe.
+ */
+[[nodiscard]] time_ms critical_path_ms(const job_spec& spec, std::span<const time_ms> step_run_ms);
 
 /**
  * Returns the largest number of accelerators that all tasks of one step need together. Thread safe.
--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -97,10 +97,11 @@
         return false;
     }
     const settings& limits = p.state.limits;
-    const auto wait_limit = group.owner->spec.policy.priority == 0
-                                ? urgent_rack_wait_share * static_cast<double>(limits.reclaim_ms)
-                                : rack_wait_share * (limits.remote_factor - 1) *
-                                      static_cast<double>(group.spec().estimate_ms);
+    const auto wait_limit =
+        group.owner->spec.policy.priority == 0
+            ? urgent_rack_wait_share * static_cast<double>(limits.reclaim_ms)
+            : rack_wait_share * (limits.remote_factor - 1) *
+                  static_cast<double>(group.owner->expected_step_run_ms[group.step]);
     return static_cast<double>(waited) < wait_limit;
 }
 
--- a/libs/scheduler/src/worker_speed.cpp
+++ b/libs/scheduler/src/worker_speed.cpp
@@ -79,6 +79,13 @@
     return mean(found->second);
 }
 
+double relative_speed(const worker_speeds& speeds, const std::string& worker) {
+    const auto found = speeds.by_worker.find(worker);
+    const bool distinct =
+        found != speeds.by_worker.end() && found->second.speed != speed_class::normal;
+    return distinct ? std::exp(learned_log_speed(speeds, worker).value_or(0)) : 1;
+}
+
 std::optional<rate_comparison> compare_rate(const worker_speeds& speeds,
                                             const step_progress& progress, std::size_t index,
                                             bool gang) {
--- a/libs/scheduler/src/worker_speed.h
+++ b/libs/scheduler/src/worker_speed.h
@@ -31,6 +31,9 @@
 [[nodiscard]] std::optional<double> learned_log_speed(const worker_speeds& speeds,
                                                       const std::string& worker);
 
+/** Returns a worker's speed over that of a normal one; 1 unless its class is fast or slow. */
+[[nodiscard]] double relative_speed(const worker_speeds& speeds, const std::string& worker);
+
 /**
  * Compares the measured run of task `index` with runs of other tasks of the step on other workers.
  * The rate of each is corrected by its worker's learned speed: otherwise, workers that mostly run
