Review: a host that wakes sends old starts to a worker's new life

Cause: a relayed batch of starts has no limit of time at the host that relays it, and a worker that starts again under its id has forgotten what would make it refuse them.

--- a/review/tests/deployment.h
+++ b/review/tests/deployment.h
@@ -23,6 +23,8 @@
     std::string root;
     std::string record_file;
     int entry_hosts = 3;
+    /** Link of an entry host. */
+    double link_mbps = 1000;
     std::vector<queue_settings> queues;
     /** Executors; ids and addresses are assigned. */
     std::vector<executor_settings> executors;
@@ -36,6 +38,7 @@
     bool accepted = false;
     time_ms accepted_at = 0;
     bool cancelled = false;
+    std::function<void()> on_accepted;
     /** State of the latest answer; empty before the first, `unknown` after a 410. */
     std::string state;
 };
@@ -65,6 +68,9 @@
 
     /** Submits a job at a host, and again with the same id after a refusal or without an answer. */
     client_job& submit(const std::string& queue, const json& body);
+    /** The same, at a given host; `on_accepted` is called with the answer that accepts the job. */
+    client_job& submit_at(std::size_t host, const std::string& queue, const json& body,
+                          std::function<void()> on_accepted = nullptr);
     void query(client_job& job, std::size_t host);
     void cancel(client_job& job, std::size_t host);
     /** Asks a host for the number of pending jobs of a queue; -1 if it gave none. */
