--- a/review/2/tests/case.cpp
+++ b/review/2/tests/case.cpp
@@ -16,9 +16,9 @@
 /** Close to the longest spec, 4,000 bytes. */
 constexpr std::size_t padding_bytes = 3800;
 constexpr time_ms freeze_ms = 3800;
-/** From the start of the freeze: the tasks have ended, and their ends are taken note of. */
 /** Starts that aren't relayed reach their executors within this time. */
 constexpr time_ms prompt_start_ms = 200;
+/** From the start of the freeze: the tasks have ended, and their ends are taken note of. */
 constexpr time_ms crash_after_ms = 1500;
 constexpr time_ms down_ms = 1500;
 constexpr time_ms background_ms = 40'000;
@@ -52,12 +52,10 @@
     }
     const std::size_t leader = d.leader();
     const std::size_t accepting = (leader + 1) % 3;
-    bool frozen = false;
     client_job& job = d.submit_at(accepting, "/fit/", make_job(), [&] {
         if (with_trouble()) {
             d.ledger().note("trouble: the host that accepted the job freezes");
             d.signal_host(accepting, SIGSTOP);
-            frozen = true;
         }
     });
     d.run_until([&] { return job.accepted; }, 3000);
