Logs: how late a host, its lease and its views are

Cause: the three hypotheses of the incident (a leader's own delay taken for silence, views that are late or partial, work that grows with the fleet) couldn't be told apart from the logs: no line told how late a loop was, when a lease was last written, how old a view was on which a decision rested, or what became of an end that matched no run.

Change: loop_delayed with the processor time used meanwhile (own work, or not scheduled), leader_event_slow, registry_view_late, configuration_expired, the reason for a lost lease in leader_stopped, end_unmatched, ages in run_lost and worker_listed; histograms loop_delay_ms and leader_event_ms. No decision changed.

--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -5,6 +5,7 @@
 #include "evacuations.h"
 #include "leader.h"
 #include "leader_elector.h"
+#include "loop_monitor.h"
 #include "peers.h"
 #include "platform/documents.h"
 #include "platform/headers.h"
@@ -43,6 +44,9 @@
 /** Part of the grace period that is reserved for the exit of the process. */
 constexpr time_ms exit_margin_ms = 700;
 
+/** Delay of the event loop from which a line is logged. */
+constexpr time_ms logged_loop_delay_ms = 200;
+
 constexpr const char* metrics_content_type = "text/plain; version=0.0.4";
 
 } // namespace
@@ -73,7 +77,10 @@
     std::unique_ptr<http_server> readiness_server;
     std::unique_ptr<http_server> internal_server;
 
+    loop_monitor monitor{tick_ms};
     bool store_reachable = true;
+    /** Whether calls were refused for want of a confirmed configuration at the last tick. */
+    bool configuration_expired = false;
     bool stopping = false;
     time_ms stop_started_at = 0;
 
@@ -293,6 +300,8 @@
         }
         log.write("configuration_in_force",
                   "version=" + std::to_string(decoded.value().version) + " source=" + source +
+                      " confirmed_ms_ago=" +
+                      std::to_string(boottime_now() - configuration_confirmed_at()) +
                       " routes=" + std::to_string(decoded.value().routes.size()) +
                       " keys=" + std::to_string(decoded.value().account_by_key.size()));
         configuration = std::make_shared<const gateway::configuration>(std::move(decoded.value()));
@@ -327,12 +336,36 @@
                 elector->state().epoch, elector->state().earlier_orders_until_ms, requests(),
                 [this] { resign(elector->state()); });
         } else if (!is_leader(elector->state()) && term) {
-            log.write("leader_stopped", "");
+            const leadership_state& lease = elector->state();
+            log.write(
+                "leader_stopped",
+                "last_write_ms_ago=" + std::to_string(boottime_now() - lease.write_sent_at_ms) +
+                    " slowest_write_ms=" + std::to_string(lease.slowest_response_ms) +
+                    " loop_delay_ms=" + std::to_string(monitor.recent_delay_ms()));
             term.reset();
         }
     }
 
+    /** Logs how late this process is and whether its configuration is confirmed. */
+    void observe_delays() {
+        const loop_delay last = monitor.tick();
+        counters.observe_ms("loop_delay_ms", static_cast<double>(last.delay_ms));
+        if (last.delay_ms >= logged_loop_delay_ms) {
+            log.write("loop_delayed", "delay_ms=" + std::to_string(last.delay_ms) +
+                                          " cpu_ms=" + std::to_string(last.cpu_ms) +
+                                          " leader=" + std::to_string(term ? 1 : 0));
+        }
+        const bool expired = configuration && !valid_configuration();
+        if (expired != configuration_expired) {
+            configuration_expired = expired;
+            log.write(expired ? "configuration_expired" : "configuration_confirmed",
+                      "version=" + std::to_string(configuration->version) + " age_ms=" +
+                          std::to_string(boottime_now() - configuration_confirmed_at()));
+        }
+    }
+
     void tick() {
+        observe_delays();
         elector->send_due_write(
             acquisition_delay(settings.cpu_share, peer_hosts->largest_cpu_share()));
         update_term();
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -21,6 +21,10 @@
 /** Polling interval of the worker registry. The registry changes with every heartbeat, so reading
  * the changes in batches saves calls. */
 constexpr time_ms registry_interval_ms = 300;
+/** Time that the handling of one event takes from which a line is logged. */
+constexpr time_ms logged_event_ms = 100;
+/** Age of the view of the workers from which a line is logged. */
+constexpr time_ms logged_view_age_ms = 1000;
 
 scheduler::job_state reported_state(const scheduler::job& j) {
     if (scheduler::is_final(j.visible_state)) {
@@ -45,6 +49,8 @@
 
     bool deposed = false;
     time_ms started_at = 0;
+    /** Whether the view of the workers was late at the last tick. */
+    bool view_late = false;
 
     std::optional<loaded_jobs> loaded;
     std::vector<scheduler::job_spec> early_submissions;
@@ -195,6 +201,9 @@
             submission_read(std::move(spec));
         }
         handle(scheduler::tick{});
+        context.log.write("leader_loaded",
+                          "phase=applied records=" + std::to_string(records.size()) +
+                              " took_ms=" + std::to_string(boottime_now() - started_at));
         if (context.limits.learned_run_times) {
             learned_run_times = std::make_unique<run_time_store>(
                 run_time_store_context{context.loop, context.store, context.log, context.counters,
@@ -209,8 +218,21 @@
         }
     }
 
+    /** Logs whether the view of the workers is late. */
+    void observe_view() {
+        const time_ms age = boottime_now() - registry_follower->confirmed_at_ms();
+        const bool late = age >= logged_view_age_ms;
+        if (late != view_late) {
+            view_late = late;
+            context.log.write(late ? "registry_view_late" : "registry_view_current",
+                              "age_ms=" + std::to_string(age) +
+                                  " offset=" + std::to_string(registry_follower->end()));
+        }
+    }
+
     void tick() {
         if (state) {
+            observe_view();
             handle(scheduler::tick{});
         }
         run_after(context.loop, tick_ms, [](impl& i) { i.tick(); });
@@ -233,6 +255,16 @@
             std::visit([this](auto& value) { execute(value); }, effect);
         }
         starts->flush();
+        const time_ms took_ms = boottime_now() - at.monotonic_ms;
+        context.counters.observe_ms("leader_event_ms", static_cast<double>(took_ms));
+        if (took_ms >= logged_event_ms) {
+            context.log.write("leader_event_slow",
+                              "kind=" + std::to_string(e.index()) +
+                                  " took_ms=" + std::to_string(took_ms) +
+                                  " effects=" + std::to_string(out.size()) +
+                                  " waiting_jobs=" + std::to_string(state->waiting_jobs.size()) +
+                                  " workers=" + std::to_string(state->workers.size()));
+        }
     }
 
     void execute(scheduler::store_records& records) {
--- a/libs/scheduler/src/late_end.cpp
+++ b/libs/scheduler/src/late_end.cpp
@@ -17,4 +17,15 @@
     }
 }
 
+void log_unmatched_end(reduce_context& ctx, const std::string& worker_id, const task_ref& ref,
+                       const ended_run& end) {
+    if (!ref || ref.owner->ended() || end.reason != end_reason::done) {
+        return;
+    }
+    log_decision(ctx, "end_unmatched",
+                 describe_task(end.task, end.run) + " worker=" + worker_id + " current_run=" +
+                     std::to_string(ref.item->run) + " assigned_to=" + ref.item->where.id +
+                     " gang=" + std::to_string(ref.spec->gang ? 1 : 0));
+}
+
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/late_end.h
+++ b/libs/scheduler/src/late_end.h
@@ -20,4 +20,8 @@
  */
 void withdraw_needless_placement(reduce_context& ctx, const task_ref& ref, const ended_run& end);
 
+/** Logs an end of a run that isn't its task's current one and changes nothing. */
+void log_unmatched_end(reduce_context& ctx, const std::string& worker_id, const task_ref& ref,
+                       const ended_run& end);
+
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -66,7 +66,9 @@
         runs.push_back({id, t.run, t.proven || unknown, witnessed});
         log_decision(ctx, "run_lost",
                      describe_task(id, t.run) + " " + source +
-                         " observed_ms=" + std::to_string(observed_ms) +
+                         " observed_ms=" + std::to_string(observed_ms) + " answered_ms_ago=" +
+                         std::to_string(ctx.now.monotonic_ms - w.answered_at_ms) + " poll_ms_ago=" +
+                         std::to_string(ctx.now.monotonic_ms - w.poll_sent_at_ms) +
                          " crashes=" + std::to_string(t.losses.crashes) +
                          " start_crashes=" + std::to_string(t.losses.start_crashes) +
                          " witnessed=" + std::to_string(witnessed ? 1 : 0));
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -101,6 +101,8 @@
         withdraw_needless_placement(ctx, ref, end);
         if (is_current(ref, w, end.run) || is_late_success(ref, end)) {
             apply_end(ctx, ref, end);
+        } else {
+            log_unmatched_end(ctx, w.report.incarnation.id, ref, end);
         }
         ctx.state.plan_needed = true;
         ctx.state.capacities.mark_stale(w.report.incarnation.id);
@@ -274,8 +276,9 @@
     }
     if (!w.listed || was_draining != report.draining) {
         log_decision(ctx, "worker_listed",
-                     "worker=" + report.incarnation.id +
-                         " draining=" + std::to_string(report.draining ? 1 : 0));
+                     "worker=" + report.incarnation.id + " draining=" +
+                         std::to_string(report.draining ? 1 : 0) + " written_within_ms=" +
+                         std::to_string(ctx.now.monotonic_ms - reported.written_after_ms));
         ctx.state.plan_needed = true;
     }
     w.listed = true;
