Soak: load, faults and processor share as options

Cause: the soak gave each host whole cores and a quarter of the deployment's load, so a run like the users' could only be made by editing it and with an outside script.

The summary says how late the stand-ins themselves were, as they share one process.

--- a/tests/soak/entry_host.cpp
+++ b/tests/soak/entry_host.cpp
@@ -1,5 +1,6 @@
 #include "entry_host.h"
 
+#include <csignal>
 #include <fstream>
 #include <stdexcept>
 #include <vector>
@@ -11,8 +12,9 @@
 }
 
 entry_host make_entry_host(event_loop& loop, const std::string& name, const std::string& directory,
-                           int first_port, const std::string& store_address) {
+                           int first_port, const std::string& store_address, double cpu_share) {
     entry_host host;
+    host.cpu_share = cpu_share;
     host.name = name;
     host.settings_file = directory + "/" + name + ".yaml";
     host.log_file = directory + "/" + name + ".log";
@@ -27,7 +29,7 @@
         << "\nfailure_domain: z1\nip: 127.0.0.1\ncaller_address: " << host.caller_address
         << "\nreadiness_address: " << loopback(first_port + 1)
         << "\ninternal_port: " << first_port + 2 << "\nstore_address: " << loopback(first_port + 3)
-        << "\nstore_partitions: 4\ncpu_share: 0.25\nstop_grace_s: 6\n"
+        << "\nstore_partitions: 4\ncpu_share: " << cpu_share << "\nstop_grace_s: 6\n"
         << "configuration_bound_ms: 2000\nmax_lease_ms: 6000\nstop_timeout_ms: 200\n"
         << "reclaim_ms: 2700\nremote_factor: 3\nstatus_retention_s: 120\n";
     return host;
@@ -38,6 +40,29 @@
     host.process = std::make_unique<child_process>(
         std::vector<std::string>{FULMARWORKS_BINARY, "entry", "--settings", host.settings_file},
         host.log_file);
+    if (host.quota != nullptr) {
+        host.limited_process = host.process->id();
+        host.quota->limit(host.limited_process, host.cpu_share);
+    }
+}
+
+void end_process(entry_host& host) {
+    if (host.quota != nullptr) {
+        host.quota->remove(host.limited_process);
+    }
+    host.process.reset();
+    host.kill_at = 0;
+}
+
+void set_paused(entry_host& host, bool paused) {
+    if (!host.process) {
+        return;
+    }
+    if (host.quota != nullptr) {
+        host.quota->set_paused(host.process->id(), paused);
+    } else {
+        host.process->signal(paused ? SIGSTOP : SIGCONT);
+    }
 }
 
 } // namespace fulmarworks::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -42,6 +42,14 @@
                                       command);
     TCLAP::ValueArg<int> hosts("e", "entry-hosts", "Number of entry hosts", false, 4, "N", command);
     TCLAP::ValueArg<int> workers("w", "workers", "Number of workers", false, 12, "N", command);
+    TCLAP::ValueArg<int> interval("i", "job-interval", "Milliseconds between submissions", false,
+                                  120, "MS", command);
+    TCLAP::ValueArg<double> share("", "cpu-share",
+                                  "Share of a core to which each host is held; 0: unlimited", false,
+                                  0, "SHARE", command);
+    TCLAP::ValueArg<int> large("", "large-hosts", "Hosts that have half a core instead", false, 0,
+                               "N", command);
+    TCLAP::SwitchArg calm("", "no-faults", "Inject no faults", command);
     TCLAP::SwitchArg crashes("c", "worker-crashes",
                              "Let some tasks crash their workers, and capacities shrink", command);
     TCLAP::SwitchArg verbose("v", "verbose", "Print the faults of every seed", command);
@@ -58,6 +66,10 @@
         options.seed = seed.getValue() + seeds_run;
         options.entry_hosts = hosts.getValue();
         options.workers = workers.getValue();
+        options.job_interval_ms = interval.getValue();
+        options.cpu_share = share.getValue();
+        options.large_hosts = large.getValue();
+        options.faults = !calm.getValue();
         options.worker_crashes = crashes.getValue();
         options.keep_logs_in = logs.getValue();
         failed += run_and_print(options, verbose.getValue()) ? 0 : 1;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -24,7 +24,6 @@
 constexpr time_ms completion_limit_ms = 14000;
 /** Five crashes under each task that crashes workers, at intervals of some seconds. */
 constexpr time_ms longest_completion_ms = 60'000;
-constexpr time_ms job_interval_ms = 120;
 constexpr time_ms advance_interval_ms = 10;
 constexpr time_ms restart_delay_ms = 300;
 constexpr time_ms stop_grace_ms = 6000;
@@ -37,13 +36,18 @@
 public:
     explicit seed_run(const soak_options& options)
         : options_(options), random_(options.seed), store_(loop_) {}
+    ~seed_run() { std::for_each(hosts_.begin(), hosts_.end(), end_process); }
+    seed_run(const seed_run&) = delete;
+    seed_run& operator=(const seed_run&) = delete;
 
     soak_report execute() {
         set_up();
         loop_.every(advance_interval_ms, [this] { advance(); });
         loop_.run_until([] { return false; }, startup_ms);
         schedule_load();
-        schedule_faults();
+        if (options_.faults) {
+            schedule_faults();
+        }
         if (options_.worker_crashes) {
             client_->set_crashing_job_interval(crashing_job_interval);
             schedule_capacity_changes();
@@ -102,12 +106,23 @@
     }
 
     void add_host(int i, int port, const std::string& store_address) {
-        hosts_.push_back(
-            make_entry_host(loop_, "entry-" + std::to_string(i), directory_, port, store_address));
+        constexpr double unlimited_share = 0.25;
+        const bool limited = options_.cpu_share > 0;
+        const double share =
+            i < options_.large_hosts ? options_.large_cpu_share : options_.cpu_share;
+        hosts_.push_back(make_entry_host(loop_, "entry-" + std::to_string(i), directory_, port,
+                                         store_address, limited ? share : unlimited_share));
+        hosts_.back().quota = limited ? &quota_ : nullptr;
         start_process(hosts_.back());
     }
 
     void advance() {
+        const time_ms now = monotonic_now();
+        if (advanced_at_ != 0) {
+            longest_delay_ms_ =
+                std::max(longest_delay_ms_, now - advanced_at_ - advance_interval_ms);
+        }
+        advanced_at_ = now;
         for (auto& w : workers_) {
             w->advance();
         }
@@ -127,13 +142,12 @@
     }
 
     void restart_later(entry_host& host) {
-        host.process.reset();
-        host.kill_at = 0;
+        end_process(host);
         loop_.after(restart_delay_ms, [&host] { start_process(host); });
     }
 
     void schedule_load() {
-        for (time_ms at_ms = 0; at_ms < fault_phase_ms; at_ms += job_interval_ms) {
+        for (time_ms at_ms = 0; at_ms < fault_phase_ms; at_ms += options_.job_interval_ms) {
             const bool cancel = random_between(0, 19) == 0;
             loop_.after(at_ms, [this, cancel] { client_->submit_random(cancel); });
         }
@@ -257,8 +271,8 @@
             break;
         case 2:
             inject(
-                at_ms, host.name + " paused", [&host] { signal(host, SIGSTOP); }, duration_ms,
-                [&host] { signal(host, SIGCONT); });
+                at_ms, host.name + " paused", [&host] { set_paused(host, true); }, duration_ms,
+                [&host] { set_paused(host, false); });
             break;
         case 3:
             inject(
@@ -315,7 +329,7 @@
         }
         for (auto& host : hosts_) {
             host.store_proxy->set_fault(proxy_fault::none, 0, false);
-            signal(host, SIGCONT);
+            set_paused(host, false);
         }
     }
 
@@ -339,8 +353,9 @@
         for (const auto& [status, count] : client_->answers()) {
             text += " " + std::to_string(status) + ":" + std::to_string(count);
         }
+        text += "; stand-ins late by " + std::to_string(longest_delay_ms_) + " ms at most";
+        std::for_each(hosts_.begin(), hosts_.end(), end_process);
         if (options_.keep_logs_in.empty()) {
-            hosts_.clear();
             std::filesystem::remove_all(directory_);
         }
         return text;
@@ -353,8 +368,12 @@
     soak_store store_;
     invariant_checker checker_;
     time_ms faults_cleared_at_ = 0;
+    time_ms advanced_at_ = 0;
+    /** Longest delay of this process, in which all stand-ins run. */
+    time_ms longest_delay_ms_ = 0;
     gang_member_counts gangs_;
     std::vector<std::unique_ptr<soak_worker>> workers_;
+    cpu_quota quota_;
     std::deque<entry_host> hosts_;
     std::unique_ptr<soak_client> client_;
     soak_report report_;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/time.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -10,6 +12,15 @@
     std::uint64_t seed = 1;
     int entry_hosts = 4;
     int workers = 12;
+    /** Interval between submissions. */
+    time_ms job_interval_ms = 120;
+    /** Whether faults are injected. */
+    bool faults = true;
+    /** Share of a core to which each host is held; 0 leaves the hosts unlimited. */
+    double cpu_share = 0;
+    /** Number of the first hosts that have `large_cpu_share` instead. */
+    int large_hosts = 0;
+    double large_cpu_share = 0.5;
     /** Whether some tasks crash their workers, and capacities shrink and grow. */
     bool worker_crashes = false;
     /** Directory for the logs; empty deletes them after the run. */
