Logs: one request in sixteen can be followed completely, and each job's end tells of its runs

Change: lines of one request in 16, chosen by a hash that is the same on all hosts, have a limit of their own; job_ended tells when the job was first placed and how many placements, lost and failed runs it had; explain reports that. Ruled out: a higher limit for all (costs the leader most when it is busiest).

What it costs in processor time wasn't measured.

--- a/libs/logs/src/request_timeline.cpp
+++ b/libs/logs/src/request_timeline.cpp
@@ -146,6 +146,19 @@
     return reason.starts_with(preempted) ? "preempted" : std::string(reason);
 }
 
+/** Adds what the end of a job tells of its runs. It is known also if the lines of the runs were
+ * left out. */
+void add_effort(timeline_analysis& state, const log_record& line) {
+    const auto placements = line.field("placements");
+    if (placements.empty()) {
+        return; // written by an earlier release
+    }
+    state.add_finding("its last leader placed its tasks " + std::string(placements) +
+                      " times, first " + std::string(line.field("placed_age_ms")) +
+                      " ms after the submission; " + std::string(line.field("releases")) +
+                      " runs were lost and " + std::string(line.field("failed_runs")) + " failed");
+}
+
 void analyze_request_line(timeline_analysis& state, const log_record& line) {
     if (line.event == "request_refused") {
         analyze_refusal(state, line);
@@ -171,6 +184,7 @@
     } else if (line.event == "job_ended") {
         state.add_finding("ended " + std::string(line.field("state")) + " after " +
                           std::string(line.field("age_ms")) + " ms");
+        add_effort(state, line);
         state.concluded = true;
     } else if (line.event == "run_lost") {
         ++state.runs_lost_with_worker;
--- a/libs/logs/tests/request_timeline_test.cpp
+++ b/libs/logs/tests/request_timeline_test.cpp
@@ -121,6 +121,18 @@
     CHECK(has_finding(timeline, "check its id"));
 }
 
+// Guards against complaints that can't be followed because the lines of a job's runs were left out.
+TEST_CASE("the end of a job tells of its runs whose lines were left out") {
+    const auto timeline = build_timeline(
+        parse_all({"ts=1000 node=e1 event=job_known request=a",
+                   "ts=9000 node=e1 event=job_ended request=a state=completed age_ms=8000 "
+                   "placed_age_ms=2900 placements=12 releases=4 failed_runs=1"}),
+        "a");
+    CHECK(has_finding(timeline,
+                      "its last leader placed its tasks 12 times, first 2900 ms after the "
+                      "submission; 4 runs were lost and 1 failed"));
+}
+
 TEST_CASE("may_be_relevant drops lines of other requests and routine worker_listed lines") {
     CHECK(may_be_relevant(*parse_log_line("ts=1 node=e event=job_known request=a"), "a"));
     CHECK_FALSE(may_be_relevant(*parse_log_line("ts=1 node=e event=job_known request=b"), "a"));
--- a/libs/node/include/node/decision_log.h
+++ b/libs/node/include/node/decision_log.h
@@ -9,12 +9,18 @@
 
 namespace fulmarworks::node {
 
+/** Returns whether a request is among the one in 16 whose lines have a limit of their own. The
+ * choice is the same on all hosts. Thread safe. */
+[[nodiscard]] bool is_sampled(std::string_view request);
+
 /**
  * Writes one structured line per decision to standard output without blocking.
  *
  * Lines are held in a bounded buffer while the reader is slow. When the buffer is full, lines are
  * dropped and their number is logged as `dropped`. Each event is limited to a number of lines per
- * second; the number of lines above the limit is logged as `suppressed`.
+ * second; the number of lines above the limit is logged as `suppressed`. Lines of the requests that
+ * `is_sampled` chooses have a limit of their own, so that all hosts log these requests completely
+ * under loads at which the other lines are cut.
  *
  * Not thread safe.
  */
@@ -33,6 +39,8 @@
     /** Lines of one event in the current second. */
     struct event_budget {
         std::uint32_t used = 0;
+        /** Lines of sampled requests. */
+        std::uint32_t sampled = 0;
         std::uint32_t suppressed = 0;
     };
 
--- a/libs/node/src/decision_log.cpp
+++ b/libs/node/src/decision_log.cpp
@@ -1,5 +1,7 @@
 #include "node/decision_log.h"
 
+#include "base/digest.h"
+
 #include <cerrno>
 #include <fcntl.h>
 #include <unistd.h>
@@ -11,13 +13,32 @@
 /** Limit per event; the most frequent event needs about 40 per second on a day at the platform's
  * size. */
 constexpr std::uint32_t max_lines_per_second = 200;
+/** The same for lines of sampled requests. One in 16 of the tasks that the platform's largest
+ * deployment starts in a second has 60 lines of an event. */
+constexpr std::uint32_t max_sampled_lines_per_second = 200;
+constexpr std::uint32_t sampled_interval = 16;
+constexpr std::string_view request_field = "request=";
 /** Limit of the bytes buffered for a slow reader. */
 constexpr std::size_t buffer_limit_bytes = 128 * 1024;
 /** Bytes that are buffered before a write, to save system calls. */
 constexpr std::size_t write_size_bytes = 4096;
 
+/** Returns the request that a line names; empty if it names none. */
+std::string_view request_of(std::string_view fields) {
+    const auto begin = fields.find(request_field);
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    fields.remove_prefix(begin + request_field.size());
+    return fields.substr(0, fields.find(' '));
+}
+
 } // namespace
 
+bool is_sampled(std::string_view request) {
+    return !request.empty() && hash64(request) % sampled_interval == 0;
+}
+
 decision_log::decision_log(std::string name) : name_(std::move(name)) {
     const int flags = fcntl(STDOUT_FILENO, F_GETFL, 0);
     if (flags >= 0) {
@@ -56,8 +77,12 @@
     if (found == budgets_.end()) {
         found = budgets_.emplace(std::string(event), event_budget{}).first;
     }
-    if (++found->second.used > max_lines_per_second) {
-        ++found->second.suppressed;
+    event_budget& budget = found->second;
+    const bool sampled = is_sampled(request_of(fields));
+    const bool exceeded = sampled ? ++budget.sampled > max_sampled_lines_per_second
+                                  : ++budget.used > max_lines_per_second;
+    if (exceeded) {
+        ++budget.suppressed;
         return;
     }
     append_line(event, fields);
--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -117,6 +117,16 @@
     [[nodiscard]] bool complete() const;
 };
 
+/** What one leader did for a job. */
+struct job_effort {
+    /** Monotonic time of the first placement; 0 before that. */
+    time_ms placed_at_ms = 0;
+    std::uint32_t placements = 0;
+    /** Assignments that were released without an end that the worker listed. */
+    std::uint32_t releases = 0;
+    std::uint32_t failed_runs = 0;
+};
+
 struct job {
     job_spec spec;
     /** In order; each is created when it is due. */
@@ -129,6 +139,8 @@
     time_ms accepted_at_ms = 0;
     /** Monotonic time at which the job reached a final state; 0 while it is active. */
     time_ms ended_at_ms = 0;
+    /** What this leader did for the job, for the log line at its end. */
+    job_effort effort;
     /** Expected run time of a task of each step; empty before the job is first planned. */
     std::vector<time_ms> expected_step_run_ms;
     /** Monotonic time at which `expected_step_run_ms` was computed. */
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -98,6 +98,7 @@
 void count_failure(reduce_context& ctx, const task_ref& ref, const ended_run& end) {
     std::uint32_t& failures = ref.spec->gang ? ref.progress->gang_failures : ref.item->failures;
     ++failures;
+    ++ref.owner->effort.failed_runs;
     ref.item->failed_on = ref.item->where.id;
     record_failed_job(ctx, ref.item->where.id, end.task.job);
     if (failures >= ref.owner->spec.policy.max_attempts && !ref.spec->long_running) {
@@ -195,6 +196,8 @@
     t.start_delayed = false;
     t.start_allowed = false;
     ref.owner->started = true;
+    job_effort& effort = ref.owner->effort;
+    effort.placed_at_ms = effort.placements++ == 0 ? ctx.now.monotonic_ms : effort.placed_at_ms;
     ctx.state.workers.at(where.id).assigned.insert(id);
     ctx.state.capacities.mark_stale(where.id);
     mark_changed(ctx, *ref.owner);
@@ -287,6 +290,7 @@
     log_decision(ctx, "task_released",
                  describe_task(id, ref.item->run) + " worker=" + ref.item->where.id +
                      " reason=" + std::string(reason));
+    ++ref.owner->effort.releases;
     release_capacity(ctx, id, *ref.item);
     make_idle(ctx, ref);
     mark_changed(ctx, *ref.owner);
@@ -332,8 +336,13 @@
     j.ended_at_ms = ctx.now.monotonic_ms;
     const job_state state = derive_state(j);
     log_decision(ctx, "job_ended",
-                 "request=" + j.spec.id + " state=" + std::string(name_of(state)) +
-                     " age_ms=" + std::to_string(ctx.now.monotonic_ms - j.accepted_at_ms));
+                 "request=" + j.spec.id + " state=" + std::string(name_of(state)) + " age_ms=" +
+                     std::to_string(ctx.now.monotonic_ms - j.accepted_at_ms) + " placed_age_ms=" +
+                     std::to_string(
+                         j.effort.placements == 0 ? 0 : j.effort.placed_at_ms - j.accepted_at_ms) +
+                     " placements=" + std::to_string(j.effort.placements) +
+                     " releases=" + std::to_string(j.effort.releases) +
+                     " failed_runs=" + std::to_string(j.effort.failed_runs));
     mark_changed(ctx, j);
     ctx.state.actions_after_next_batch.emplace_back(deferred_visibility{j.spec.id, state});
     for_each_task(j, [&](const task_id& id, const task_ref& ref) {
