A read that returns only a part doesn't confirm the rest

Cause: the store returns at most 1,024 KB a read. The follower took each read for complete, and its sending time for the time up to which all was known. So did written_after_ms, by which the leader judges entries of the worker registry. A follower that polls also paused between the parts.

Change: topic_follower.h defines when a read is complete and up to when a follower is current; only complete reads confirm. A read that leaves records is followed by the next one at once. The stand-in for the store obeys maxKb and the size of a page.

Evidence: topic_follower_test, 3.6 MB written while the store was silent. Before: confirmed documents that had not been delivered, delivered documents that were older than written_after_ms, and a follower with a pause of 60 s didn't catch up in 5 s. After: holds.

Ruled out: pages of /log-newest. They confirm the time at which the first one was sent, and all records from its end on are read again.

--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -141,19 +141,19 @@
     /** Reads what was written to a partition since its follower's last read. Always calls `done`,
      * unlike guarded callbacks, since a caller may be waiting for it. */
     void catch_up_partition(std::uint32_t partition, std::function<void(bool)> done) {
-        context.store.read(platform::topic::submissions, partition,
-                           submission_followers[partition]->end(), 0,
-                           [weak_self = weak_from_this(),
-                            done = std::move(done)](const platform::read_outcome& outcome) {
-                               const auto self = weak_self.lock();
-                               const bool ok = outcome.status == platform::store_status::ok;
-                               if (self && ok) {
-                                   for (const auto& record : outcome.records) {
-                                       self->record_read(record);
-                                   }
-                               }
-                               done(self && ok);
-                           });
+        context.store.read(
+            {platform::topic::submissions, partition, submission_followers[partition]->end()},
+            [weak_self = weak_from_this(),
+             done = std::move(done)](const platform::read_outcome& outcome) {
+                const auto self = weak_self.lock();
+                const bool ok = outcome.status == platform::store_status::ok;
+                if (self && ok) {
+                    for (const auto& record : outcome.records) {
+                        self->record_read(record);
+                    }
+                }
+                done(self && ok);
+            });
     }
 
     /** Does so for all partitions side by side; `done` gets whether all reads succeeded. */
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -11,6 +11,9 @@
 
 /** Delay before a failed read is retried. */
 constexpr time_ms failed_read_delay_ms = 100;
+/** Added to the wait of a read to give its timeout; long enough for a slow store. */
+constexpr time_ms long_poll_margin_ms = 700;
+constexpr time_ms read_timeout_ms = 550;
 
 } // namespace
 
@@ -107,6 +110,7 @@
         }
         loaded = true;
         next_offset = first_page_end;
+        // Later changes of the keys are after `first_page_end`.
         confirmed_at = started_at;
         written_after = 0;
         const auto records = std::move(snapshot_records);
@@ -134,9 +138,14 @@
         if (callbacks_disabled()) {
             return;
         }
-        const time_ms sent_at = boottime_now();
-        store.read(options.log_topic, options.partition, next_offset, failing ? 0 : options.wait_ms,
-                   guarded([sent_at](impl& i, const platform::read_outcome& outcome) {
+        platform::read_request request;
+        request.log_topic = options.log_topic;
+        request.partition = options.partition;
+        request.first_offset = next_offset;
+        request.wait_ms = failing ? 0 : options.wait_ms;
+        request.timeout_ms = request.wait_ms > 0 ? long_poll_margin_ms : read_timeout_ms;
+        store.read(request, guarded([sent_at = boottime_now()](
+                                        impl& i, const platform::read_outcome& outcome) {
                        i.read_done(outcome, sent_at);
                    }));
     }
@@ -152,24 +161,39 @@
             run_after(loop, failed_read_delay_ms, [](impl& i) { i.read(); });
             return;
         }
+        const bool advanced = outcome.next_offset > next_offset;
         next_offset = outcome.next_offset;
-        // The previous read had returned all that was written when it was sent.
-        written_after = std::exchange(confirmed_at, sent_at);
+        written_after = confirmed_at;
+        if (outcome.is_complete()) {
+            confirmed_at = sent_at;
+        }
         deliver(outcome.records);
         if (callbacks_disabled()) {
             return;
         }
-        notify_read(true);
-        if (options.pause_ms > 0) {
-            pausing = true;
-            run_after(loop, options.pause_ms, [pause = ++pauses](impl& i) {
-                if (i.pausing && i.pauses == pause) {
-                    i.read_now();
-                }
-            });
+        if (outcome.is_complete()) {
+            notify_read(true);
+            pause_then_read();
+            return;
+        }
+        if (advanced) {
+            read();
         } else {
+            run_after(loop, failed_read_delay_ms, [](impl& i) { i.read(); });
+        }
+    }
+
+    void pause_then_read() {
+        if (options.pause_ms == 0) {
             read();
+            return;
         }
+        pausing = true;
+        run_after(loop, options.pause_ms, [pause = ++pauses](impl& i) {
+            if (i.pausing && i.pauses == pause) {
+                i.read_now();
+            }
+        });
     }
 
     void read_now() {
--- a/libs/node/src/topic_follower.h
+++ b/libs/node/src/topic_follower.h
@@ -25,13 +25,22 @@
     std::function<void(const std::vector<platform::logged_record>&)> on_snapshot;
     /** Called with each record after the snapshot, in order of offsets. */
     std::function<void(const platform::logged_record&)> on_record;
-    /** Called after each read with whether it succeeded. */
+    /** Called after each read that failed, and after each one that left no record unread. */
     std::function<void(bool ok)> on_read;
 };
 
 /**
  * Follows one topic of the store: a snapshot of the newest records, then every later one. Reads
- * that fail are retried until the follower is destroyed. Not thread safe.
+ * that fail are retried until the follower is destroyed.
+ *
+ * The store returns both in parts. A part is evidence only of the records that it contains:
+ *
+ * - A read is complete if it leaves no record unread up to the end of the log that the answer
+ *   states. The snapshot is complete with its last page.
+ * - The follower is current up to the time at which its newest complete read, or the first page of
+ *   its snapshot, was sent: all that was written before that time has been delivered.
+ *
+ * A read that leaves records is followed by the next one at once. Not thread safe.
  */
 class topic_follower {
 public:
@@ -51,8 +60,9 @@
     /** Returns whether the first snapshot was delivered. */
     [[nodiscard]] bool loaded() const;
 
-    /** Returns the time (boottime) up to which all written records were delivered; 0 before the
-     * first snapshot. */
+    /** Returns the time (boottime) up to which the follower is current; 0 before the first
+     * snapshot.
+     */
     [[nodiscard]] time_ms confirmed_at_ms() const;
 
     /** Returns a time (boottime) after which the records that are being delivered were written; 0
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -10,6 +10,9 @@
 
 constexpr time_ms waiting_read_interval_ms = 10;
 constexpr std::size_t max_page_items = 500;
+constexpr std::size_t max_page_bytes = 1U << 20U;
+constexpr std::int64_t default_read_kb = 1024;
+constexpr std::size_t bytes_per_kb = 1024;
 constexpr std::size_t max_kept_answers = 5;
 constexpr std::uint64_t max_body_bytes = 4U << 20U;
 
@@ -128,7 +131,7 @@
     if (request.path == "/log-read") {
         read(request, token);
     } else if (request.path == "/log-newest") {
-        answer(token, newest(request));
+        answer_read(token, newest(request));
     } else if (request.path == "/log-append" && mode_ == store_mode::late_appends) {
         loop_.after(delay_ms_, [this, request] { (void)append(request); });
     } else if (request.path == "/log-append") {
@@ -149,6 +152,18 @@
     }
 }
 
+void soak_store::answer_read(std::uint64_t token, const http_response& response) {
+    if (read_bytes_per_second_ == 0) {
+        answer(token, response);
+        return;
+    }
+    const time_ms now = monotonic_now();
+    reads_busy_until_ = std::max(now, reads_busy_until_) +
+                        static_cast<time_ms>(response.body.size() * milliseconds_per_second /
+                                             read_bytes_per_second_);
+    loop_.after(reads_busy_until_ - now, [this, token, response] { answer(token, response); });
+}
+
 http_response soak_store::append(const http_request& request) {
     topic_state& topic = topics_[log_name(request.query)];
     const std::uint64_t end = topic.records.size();
@@ -197,7 +212,10 @@
     const topic_state& topic = topics_[log_name(request.query)];
     auto next = topic.newest.upper_bound(query_value(request.query, "dependsOn"));
     json items = json::array();
-    for (; next != topic.newest.end() && items.size() < max_page_items; ++next) {
+    std::size_t bytes = 0;
+    for (; next != topic.newest.end() && items.size() < max_page_items && bytes < max_page_bytes;
+         ++next) {
+        bytes += topic.records[next->second].value.size();
         items.push_back({{"key", next->first},
                          {"value", encode_base64(topic.records[next->second].value)},
                          {"offset", next->second}});
@@ -207,7 +225,8 @@
         {{"items", items}, {"hasMore", next != topic.newest.end()}, {"end", topic.records.size()}});
 }
 
-http_response soak_store::read_response(const std::string& name, std::uint64_t from) {
+http_response soak_store::read_response(const std::string& name, std::uint64_t from,
+                                        std::size_t max_bytes) {
     const topic_state& topic = topics_[name];
     if (from < topic.first_retained) {
         return reply(410, {{"first", topic.first_retained}});
@@ -215,8 +234,13 @@
     http_response response;
     response.content_type = "application/octet-stream";
     response.body = big_endian(topic.records.size(), 8) + big_endian(topic.first_retained, 8);
+    std::size_t bytes = 0;
     for (std::uint64_t i = from; i < topic.records.size(); ++i) {
         const record& r = topic.records[i];
+        bytes += 4 + 1 + r.key.size() + r.value.size();
+        if (i > from && bytes > max_bytes) {
+            break;
+        }
         response.body += big_endian(1 + r.key.size() + r.value.size(), 4);
         response.body += big_endian(r.key.size(), 1) + r.key + r.value;
     }
@@ -227,11 +251,14 @@
     const std::string topic = log_name(request.query);
     const auto from = static_cast<std::uint64_t>(query_number(request.query, "from", 0));
     const time_ms wait = query_number(request.query, "waitMs", 0);
+    const std::size_t max_bytes =
+        static_cast<std::size_t>(query_number(request.query, "maxKb", default_read_kb)) *
+        bytes_per_kb;
     const topic_state& state = topics_[topic];
     if (wait == 0 || from < state.records.size() || from < state.first_retained) {
-        answer(token, read_response(topic, from));
+        answer_read(token, read_response(topic, from, max_bytes));
     } else {
-        waiting_reads_[token] = {topic, from, monotonic_now() + wait};
+        waiting_reads_[token] = {topic, from, max_bytes, monotonic_now() + wait};
     }
 }
 
@@ -249,8 +276,11 @@
     }
     for (const auto& [token, reader] : due) {
         waiting_reads_.erase(token);
-        answer(token, mode_ == store_mode::refusing ? reply(503, json::object())
-                                                    : read_response(reader.topic, reader.from));
+        if (mode_ == store_mode::refusing) {
+            answer(token, reply(503, json::object()));
+        } else {
+            answer_read(token, read_response(reader.topic, reader.from, reader.max_bytes));
+        }
     }
 }
 
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -44,6 +44,10 @@
     [[nodiscard]] std::optional<std::string> newest_of(const std::string& topic,
                                                        const std::string& key) const;
 
+    /** Limits the bytes that all reads together get in a second; 0 for no limit. A read whose
+     * caller has gone takes its share too. */
+    void set_read_rate(std::size_t bytes_per_second) { read_bytes_per_second_ = bytes_per_second; }
+
     /** Trims all history; the newest record of each key remains readable through /log-newest. */
     void trim_history();
 
@@ -70,15 +74,19 @@
     struct waiting_read {
         std::string topic;
         std::uint64_t from = 0;
+        std::size_t max_bytes = 0;
         time_ms deadline = 0;
     };
 
     void handle(const http_request& request, std::uint64_t token);
     void answer(std::uint64_t token, const http_response& response);
+    /** Answers a read, after those before it if the rate of reads is limited. */
+    void answer_read(std::uint64_t token, const http_response& response);
     http_response append(const http_request& request);
     http_response newest(const http_request& request);
     void read(const http_request& request, std::uint64_t token);
-    [[nodiscard]] http_response read_response(const std::string& topic, std::uint64_t from);
+    [[nodiscard]] http_response read_response(const std::string& topic, std::uint64_t from,
+                                              std::size_t max_bytes);
     void add(topic_state& topic, std::string key, std::string value);
     void answer_waiting_reads();
 
@@ -88,6 +96,9 @@
     std::map<std::string, topic_state> topics_;
     std::map<std::uint64_t, waiting_read> waiting_reads_;
     std::string refused_topic_;
+    std::size_t read_bytes_per_second_ = 0;
+    /** Monotonic time at which the answers of all earlier reads are sent. */
+    time_ms reads_busy_until_ = 0;
     std::unique_ptr<http_server> server_;
 };
 
--- /dev/null
+++ b/tests/soak/topic_follower_test.cpp
@@ -0,0 +1,127 @@
+#include "free_ports.h"
+#include "soak_store.h"
+#include "topic_follower.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fulmarworks;
+using namespace fulmarworks::node;
+
+namespace {
+
+constexpr time_ms wait_limit_ms = 5000;
+/** Longer than a pause of a follower that polls. */
+constexpr time_ms long_pause_ms = 60'000;
+constexpr std::size_t document_bytes = 90'000;
+/** Larger than the largest answer of the store, 1 MB. */
+constexpr int backlog_documents = 40;
+constexpr const char* topic_name = "keyed.op";
+
+/** A follower on the stand-in for the platform's store. */
+struct follower_fixture {
+    event_loop loop;
+    soak::soak_store store{loop};
+    http_client http{loop};
+    std::string address = "127.0.0.1:" + std::to_string(find_free_ports(1));
+    platform::store_client client{http, address};
+    std::unique_ptr<topic_follower> follower;
+    int written = 0;
+    /** Number of the last document that was delivered. */
+    int delivered = 0;
+    /** Boottime at which each document was written; the index is its number. */
+    std::vector<time_ms> written_at{0};
+    int failed_reads = 0;
+    bool confirmed_too_much = false;
+    bool delivered_before_written_after = false;
+
+    follower_fixture() { REQUIRE(store.listen(address)); }
+
+    void write(int count) {
+        for (int i = 0; i < count; ++i) {
+            std::string text = std::to_string(++written);
+            text.resize(document_bytes, ' ');
+            store.put(topic_name, "config", text);
+            written_at.push_back(boottime_now());
+        }
+    }
+
+    void follow(time_ms wait_ms, time_ms pause_ms) {
+        follower_options options;
+        options.wait_ms = wait_ms;
+        options.pause_ms = pause_ms;
+        options.on_record = [this](const auto& record) {
+            delivered = std::stoi(record.value);
+            if (follower &&
+                written_at[static_cast<std::size_t>(delivered)] < follower->written_after_ms()) {
+                delivered_before_written_after = true;
+            }
+        };
+        options.on_read = [this](bool ok) { failed_reads += ok ? 0 : 1; };
+        follower = std::make_unique<topic_follower>(loop, client, std::move(options));
+        REQUIRE(run_until([this] { return follower->loaded() && delivered == written; }));
+    }
+
+    /** Runs until `done`, and notes whether a document that wasn't delivered was confirmed. */
+    bool run_until(const std::function<bool()>& done, time_ms limit_ms = wait_limit_ms) {
+        return loop.run_until(
+            [&] {
+                confirmed_too_much =
+                    confirmed_too_much || (delivered < written &&
+                                           follower->confirmed_at_ms() >
+                                               written_at[static_cast<std::size_t>(delivered) + 1]);
+                return done();
+            },
+            limit_ms);
+    }
+
+    [[nodiscard]] bool caught_up() const { return delivered == written; }
+
+    /** Writes documents while the store doesn't answer, so that they are read together. */
+    void write_unread(int count) {
+        store.set_mode(soak::store_mode::silent, 0);
+        const int failed_before = failed_reads;
+        REQUIRE(run_until([&] { return failed_reads > failed_before; }));
+        write(count);
+        constexpr time_ms later_ms = 100;
+        run_until([] { return false; }, later_ms);
+        store.set_mode(soak::store_mode::up, 0);
+    }
+};
+
+} // namespace
+
+// A host that was paused during a series of changes believed an old configuration to be the newest.
+TEST_CASE("a read that returns only a part of the records doesn't confirm the others") {
+    follower_fixture f;
+    f.write(1);
+    f.follow(650, 0);
+    f.write_unread(backlog_documents);
+    REQUIRE(f.run_until([&] { return f.caught_up(); }));
+    CHECK_FALSE(f.confirmed_too_much);
+    CHECK_FALSE(f.delivered_before_written_after);
+    const time_ms caught_up_at = boottime_now();
+    CHECK(f.run_until([&] { return f.follower->confirmed_at_ms() >= caught_up_at; }));
+}
+
+// A leader that polls the worker registry was a pause behind for each part.
+TEST_CASE("a follower that polls reads all parts of a backlog without a pause") {
+    follower_fixture f;
+    f.write(1);
+    f.follow(0, long_pause_ms);
+    f.write(backlog_documents);
+    f.follower->read_now();
+    CHECK(f.run_until([&] { return f.caught_up(); }));
+}
+
+TEST_CASE("a record that is larger than a read's limit is read") {
+    follower_fixture f;
+    f.write(1);
+    f.follow(650, 0);
+    std::string large = "2";
+    constexpr std::size_t record_bytes = 262'000;
+    large.resize(record_bytes, ' ');
+    ++f.written;
+    f.written_at.push_back(boottime_now());
+    f.store.put(topic_name, "config", large);
+    CHECK(f.run_until([&] { return f.caught_up(); }));
+}
