Reads of a log begin small, so that a late host progresses

What callers saw: 503, no_configuration, for as long as changes went on. A host whose backlog takes longer than the read's timeout (550 ms once a read has failed) gave up, and asked for all of it again. The store had sent it for nothing, so that hosts that come back together keep each other from it: 147 hosts with 1 MB each take 1.8 s at 80 MB/s.

Change: read_pacing. A read asks for 320 KB, above the largest record, and for twice as much while records are left; after a failure it begins again, and its timeout is 1.1 s instead of 0.7 s. Reads that don't wait at the store had 0.55 s, less than those that do, so a store that answered in 0.6 s was read once and then failed.

Evidence: topic_follower_test, 3.6 MB at 1.2 MB/s after an outage. Before: never read; after: read at the store's rate.

Ruled out: the link of a host. The timeout of the client counts from the last byte received, so a slow link alone doesn't end a read.

--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "callback_owner.h"
 #include "page_timeout.h"
+#include "read_pacing.h"
 
 #include <utility>
 
@@ -11,9 +12,6 @@
 
 /** Delay before a failed read is retried. */
 constexpr time_ms failed_read_delay_ms = 100;
-/** Added to the wait of a read to give its timeout; long enough for a slow store. */
-constexpr time_ms long_poll_margin_ms = 700;
-constexpr time_ms read_timeout_ms = 550;
 
 } // namespace
 
@@ -33,6 +31,7 @@
      */
     std::uint64_t first_page_end = 0;
     page_timeout timeout;
+    read_pacing pacing;
     /** Whether the delay between two reads is running, and the number of delays so far. */
     bool pausing = false;
     std::uint64_t pauses = 0;
@@ -143,7 +142,8 @@
         request.partition = options.partition;
         request.first_offset = next_offset;
         request.wait_ms = failing ? 0 : options.wait_ms;
-        request.timeout_ms = request.wait_ms > 0 ? long_poll_margin_ms : read_timeout_ms;
+        request.max_kb = pacing.max_kb();
+        request.timeout_ms = pacing.timeout_ms();
         store.read(request, guarded([sent_at = boottime_now()](
                                         impl& i, const platform::read_outcome& outcome) {
                        i.read_done(outcome, sent_at);
@@ -157,6 +157,7 @@
         }
         failing = outcome.status != platform::store_status::ok;
         if (failing) {
+            pacing.failed();
             notify_read(false);
             run_after(loop, failed_read_delay_ms, [](impl& i) { i.read(); });
             return;
@@ -172,10 +173,12 @@
             return;
         }
         if (outcome.is_complete()) {
+            pacing.complete();
             notify_read(true);
             pause_then_read();
             return;
         }
+        pacing.partial();
         if (advanced) {
             read();
         } else {
--- a/tests/soak/topic_follower_test.cpp
+++ b/tests/soak/topic_follower_test.cpp
@@ -113,6 +113,19 @@
     CHECK(f.run_until([&] { return f.caught_up(); }));
 }
 
+// Each read took longer than its timeout and was repeated in full.
+TEST_CASE("a backlog is read although the store can't send all of it within a read's timeout") {
+    follower_fixture f;
+    f.write(1);
+    f.follow(650, 0);
+    constexpr std::size_t bytes_per_second = 1'200'000;
+    f.store.set_read_rate(bytes_per_second);
+    f.write_unread(backlog_documents);
+    constexpr time_ms backlog_ms =
+        backlog_documents * document_bytes * milliseconds_per_second / bytes_per_second;
+    CHECK(f.run_until([&] { return f.caught_up(); }, 3 * backlog_ms));
+}
+
 TEST_CASE("a record that is larger than a read's limit is read") {
     follower_fixture f;
     f.write(1);
