A new leader reads all parts of the late submissions

Cause: as in the follower, the answer to the last read of the submissions counted as all that was written, though a read returns 1,024 KB at most.

Change: it reads on until a read is complete.

Evidence: topic_follower_test, 1,200 submissions in one partition. Not shown to have happened on real hosts.

--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -141,19 +141,32 @@
     /** Reads what was written to a partition since its follower's last read. Always calls `done`,
      * unlike guarded callbacks, since a caller may be waiting for it. */
     void catch_up_partition(std::uint32_t partition, std::function<void(bool)> done) {
-        context.store.read(
-            {platform::topic::submissions, partition, submission_followers[partition]->end()},
-            [weak_self = weak_from_this(),
-             done = std::move(done)](const platform::read_outcome& outcome) {
-                const auto self = weak_self.lock();
-                const bool ok = outcome.status == platform::store_status::ok;
-                if (self && ok) {
-                    for (const auto& record : outcome.records) {
-                        self->record_read(record);
-                    }
-                }
-                done(self && ok);
-            });
+        catch_up_from(partition, submission_followers[partition]->end(), std::move(done));
+    }
+
+    void catch_up_from(std::uint32_t partition, std::uint64_t offset,
+                       std::function<void(bool)> done) {
+        platform::read_request request;
+        request.log_topic = platform::topic::submissions;
+        request.partition = partition;
+        request.first_offset = offset;
+        context.store.read(request,
+                           [weak_self = weak_from_this(), partition, offset,
+                            done = std::move(done)](const platform::read_outcome& outcome) {
+                               const auto self = weak_self.lock();
+                               if (!self || outcome.status != platform::store_status::ok) {
+                                   done(false);
+                                   return;
+                               }
+                               for (const auto& record : outcome.records) {
+                                   self->record_read(record);
+                               }
+                               if (outcome.is_complete() || outcome.next_offset == offset) {
+                                   done(outcome.is_complete());
+                               } else {
+                                   self->catch_up_from(partition, outcome.next_offset, done);
+                               }
+                           });
     }
 
     /** Does so for all partitions side by side; `done` gets whether all reads succeeded. */
--- a/tests/soak/topic_follower_test.cpp
+++ b/tests/soak/topic_follower_test.cpp
@@ -1,4 +1,6 @@
 #include "free_ports.h"
+#include "job_loader.h"
+#include "scheduler/codec.h"
 #include "soak_store.h"
 #include "topic_follower.h"
 
@@ -138,3 +140,31 @@
     f.store.put(topic_name, "config", large);
     CHECK(f.run_until([&] { return f.caught_up(); }));
 }
+
+// A new leader deleted the progress of jobs whose submissions it hadn't read yet.
+TEST_CASE("a new leader reads all parts of the submissions before it takes progress for orphaned") {
+    constexpr int job_count = 1200;
+    follower_fixture f;
+    std::optional<loaded_jobs> found;
+    decision_log log{"host"};
+    job_loader loader({f.loop, f.client, log, std::make_shared<read_limiter>(2),
+                       [&](loaded_jobs jobs) { found = std::move(jobs); },
+                       [](const scheduler::job_spec&) {}});
+    constexpr time_ms initial_read_ms = 200;
+    f.loop.run_until([] { return false; }, initial_read_ms);
+    f.store.refuse_topic("keyed.submissions");
+    scheduler::job_spec spec;
+    spec.policy.pool = "pool";
+    spec.payload.resize(4000, 'x');
+    spec.steps.emplace_back();
+    for (int i = 0; i < job_count; ++i) {
+        f.store.put("keyed.submissions", std::to_string(i), scheduler::encode_job_spec(spec));
+    }
+    f.store.put("keyed.progress", std::to_string(job_count - 1), "progress");
+    f.loop.run_until([] { return false; }, initial_read_ms);
+    f.store.refuse_topic("");
+    loader.load_progress();
+    REQUIRE(f.loop.run_until([&] { return found.has_value(); }, wait_limit_ms));
+    CHECK(found->orphaned_progress.empty());
+    CHECK(found->jobs.size() == job_count);
+}
