HTTP client: a stalled process takes the answers that have arrived

Callers saw leaders that called hundreds of workers unreachable within milliseconds, and then let their leases lapse, while all were up.

Cause: timeouts were left to evhttp. After a stall both the answer and the timer are due; libevent 2.1 runs the timer last (`timeout_process`), which takes the read event off the active queue and activates it as a timeout only. So every call that was open through a stall of its timeout was given up, whatever had arrived. The same holds for the writes that renew the leader's lease.

Now the client ends calls itself, on a clock that counts 50 ms a turn of the loop at most, and not while input is unread, up to twice the timeout. That holds also when one epoll call returns only some of the ready descriptors. A connection whose call timed out is still closed.

--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -31,6 +31,9 @@
     /** Path with query. */
     std::string target;
     std::string body;
+    /** Time after which the call is given up. It counts only while the loop runs: what has arrived
+     * while the process was stalled is read first, and a call that is being answered at its timeout
+     * gets up to twice the time. */
     time_ms timeout_ms = 2000;
     std::vector<http_header> headers = {};
     /** Kind under which the traffic of the call is counted. */
@@ -39,7 +42,8 @@
 
 /**
  * HTTP client on evhttp that reuses idle connections. A connection whose call timed out is closed,
- * so that no later call reuses an unresponsive connection.
+ * so that no later call reuses an unresponsive connection; one that stays idle is closed after some
+ * seconds.
  *
  * Not thread safe; runs on the loop's thread. The loop must outlive the client.
  */
