Planner: a job's remaining paths in linear time, remembered per job

Cause: remaining_critical_path_ms followed every path through the steps from each ready step, so its time doubled with each such step, in every plan. Now one pass from the last step to the first gives all paths (steps depend on earlier ones only); the job keeps them beside its expected run times, and the critical path is the longest of them.

--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -131,7 +131,9 @@
     time_ms ended_at_ms = 0;
     /** Expected run time of a task of each step; empty before the job is first planned. */
     std::vector<time_ms> expected_step_run_ms;
-    /** Monotonic time at which `expected_step_run_ms` was computed. */
+    /** Expected time from the start of each step to the end of the job; empty like the above. */
+    std::vector<time_ms> expected_remaining_path_ms;
+    /** Monotonic time at which both were computed. */
     time_ms expected_at_ms = 0;
     /** State reported to callers; never ahead of the stored state. */
     job_state visible_state = job_state::queued;
@@ -147,10 +149,12 @@
                                          std::uint32_t step);
 
 /**
- * Returns the duration of the critical path in milliseconds. Precondition: `step_run_ms` has the
- * run time of a task of each step. Thread safe.
+ * Returns, for each step, the duration of the longest chain of steps that begins with it, in
+ * milliseconds. The longest of all is the critical path. Takes time linear in steps and
+ * dependencies. Precondition: `step_run_ms` has the run time of a task of each step. Thread safe.
  */
-[[nodiscard]] time_ms critical_path_ms(const job_spec& spec, std::span<const time_ms> step_run_ms);
+[[nodiscard]] std::vector<time_ms> remaining_paths_ms(const job_spec& spec,
+                                                      std::span<const time_ms> step_run_ms);
 
 /**
  * Returns the largest number of accelerators that all tasks of one step need together. Thread safe.
--- a/libs/scheduler/src/expected_run.cpp
+++ b/libs/scheduler/src/expected_run.cpp
@@ -88,14 +88,13 @@
     return {now_ms, max_refreshed_jobs};
 }
 
-std::span<const time_ms> expected_step_run_ms(const coordinator_state& state, job& j,
-                                              expectation_refresh& refresh) {
+void refresh_expectations(const coordinator_state& state, job& j, expectation_refresh& refresh) {
     const bool known = !j.expected_step_run_ms.empty();
     if (known) {
         const bool due = state.limits.learned_run_times &&
                          refresh.now_ms - j.expected_at_ms >= refresh_interval_ms;
         if (!due || refresh.remaining_jobs == 0) {
-            return j.expected_step_run_ms;
+            return;
         }
         --refresh.remaining_jobs;
     }
@@ -106,7 +105,7 @@
         j.expected_step_run_ms.push_back(learned.samples > 0 ? learned.expected_ms
                                                              : step.estimate_ms);
     }
-    return j.expected_step_run_ms;
+    j.expected_remaining_path_ms = remaining_paths_ms(j.spec, j.expected_step_run_ms);
 }
 
 std::optional<time_ms> expected_remaining_ms(coordinator_state& state, const task_ref& ref,
--- a/libs/scheduler/src/expected_run.h
+++ b/libs/scheduler/src/expected_run.h
@@ -33,11 +33,10 @@
 [[nodiscard]] expectation_refresh begin_expectation_refresh(time_ms now_ms);
 
 /**
- * Returns the expected run time of a task of each step, in milliseconds on a worker of speed 1.
- * Keeps the values in the job and recomputes them every few seconds, as far as `refresh` allows.
+ * Keeps in the job the expected run time of a task of each step, in milliseconds on a worker of
+ * speed 1, and what follows from it. Recomputes them every few seconds, as far as `refresh` allows.
  */
-[[nodiscard]] std::span<const time_ms> expected_step_run_ms(const coordinator_state& state, job& j,
-                                                            expectation_refresh& refresh);
+void refresh_expectations(const coordinator_state& state, job& j, expectation_refresh& refresh);
 
 /**
  * Returns the expected remaining run time of a run, in milliseconds: below 100 percent extrapolated
--- a/libs/scheduler/src/job.cpp
+++ b/libs/scheduler/src/job.cpp
@@ -36,18 +36,18 @@
     });
 }
 
-time_ms critical_path_ms(const job_spec& spec, std::span<const time_ms> step_run_ms) {
-    std::vector<time_ms> ends(spec.steps.size(), 0);
-    time_ms longest = 0;
-    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-        time_ms begin = 0;
+std::vector<time_ms> remaining_paths_ms(const job_spec& spec,
+                                        std::span<const time_ms> step_run_ms) {
+    // Steps depend on earlier ones only, so a step's own path is known before it is added to those
+    // that it depends on.
+    std::vector<time_ms> paths(spec.steps.size(), 0);
+    for (std::size_t i = spec.steps.size(); i-- > 0;) {
+        paths[i] += step_run_ms[i];
         for (const std::uint32_t dependency : spec.steps[i].depends_on) {
-            begin = dependency < i ? std::max(begin, ends[dependency]) : begin;
+            paths[dependency] = std::max(paths[dependency], paths[i]);
         }
-        ends[i] = begin + step_run_ms[i];
-        longest = std::max(longest, ends[i]);
     }
-    return longest;
+    return paths;
 }
 
 std::int64_t max_step_accelerators(const job_spec& spec) {
--- a/libs/scheduler/src/task_groups.cpp
+++ b/libs/scheduler/src/task_groups.cpp
@@ -14,30 +14,17 @@
 /** After this multiple of its latency objective, a job is no longer useful to its caller. */
 constexpr int useful_objective_multiple = 3;
 
-time_ms objective_ms(const job_spec& spec, std::span<const time_ms> step_run_ms) {
-    return static_cast<time_ms>(spec.policy.slack_factor *
-                                static_cast<double>(critical_path_ms(spec, step_run_ms))) +
-           spec.policy.latency_objective_ms;
+/** Precondition for this and the functions below: the job's expectations are known. */
+time_ms objective_ms(const job& j) {
+    const auto& paths = j.expected_remaining_path_ms;
+    const time_ms critical_path = *std::max_element(paths.begin(), paths.end());
+    return static_cast<time_ms>(j.spec.policy.slack_factor * static_cast<double>(critical_path)) +
+           j.spec.policy.latency_objective_ms;
 }
 
-/** Returns the expected time from the start of `step` to the end of the job. */
-time_ms remaining_critical_path_ms(const job_spec& spec, std::span<const time_ms> step_run_ms,
-                                   std::uint32_t step) {
-    time_ms longest_after = 0;
-    for (std::uint32_t i = step + 1; i < spec.steps.size(); ++i) {
-        const auto& dependencies = spec.steps[i].depends_on;
-        if (std::find(dependencies.begin(), dependencies.end(), step) != dependencies.end()) {
-            longest_after =
-                std::max(longest_after, remaining_critical_path_ms(spec, step_run_ms, i));
-        }
-    }
-    return step_run_ms[step] + longest_after;
-}
-
-urgency classify(const task_group& group, std::span<const time_ms> step_run_ms,
-                 time_ms objective_start_ms, bool guaranteed, time_ms now_ms) {
-    const time_ms ends_at =
-        now_ms + remaining_critical_path_ms(group.owner->spec, step_run_ms, group.step);
+urgency classify(const task_group& group, time_ms objective_start_ms, bool guaranteed,
+                 time_ms now_ms) {
+    const time_ms ends_at = now_ms + group.owner->expected_remaining_path_ms[group.step];
     if (guaranteed) {
         return urgency::guaranteed;
     }
@@ -76,9 +63,8 @@
  * Adds the steps of a job that can be placed now. Returns whether any task of the job is idle or
  * waits for a dependency.
  */
-bool collect_job(job& j, std::span<const time_ms> step_run_ms, bool guaranteed, time_ms now_ms,
-                 std::vector<task_group>& groups) {
-    const time_ms objective = objective_ms(j.spec, step_run_ms);
+bool collect_job(job& j, bool guaranteed, time_ms now_ms, std::vector<task_group>& groups) {
+    const time_ms objective = objective_ms(j);
     bool idle = false;
     for (auto& o : j.occurrences) {
         for (std::uint32_t s = 0; s < o.steps.size(); ++s) {
@@ -97,7 +83,7 @@
             const time_ms objective_start =
                 j.spec.repeat_count > 0 ? progress.ready_at_ms : j.accepted_at_ms;
             group.objective_at_ms = objective_start + objective;
-            group.urgency_class = classify(group, step_run_ms, objective_start, guaranteed, now_ms);
+            group.urgency_class = classify(group, objective_start, guaranteed, now_ms);
             idle = collect_step(std::move(group), groups) || idle;
         }
     }
@@ -120,10 +106,12 @@
         const auto found = state.jobs.find(*id);
         const bool active = found != state.jobs.end() && !found->second->ended() &&
                             !state.unreadable_jobs.contains(*id);
-        const bool waits =
-            active &&
-            collect_job(*found->second, expected_step_run_ms(state, *found->second, refresh),
-                        is_guaranteed(state, *found->second), now_ms, groups);
+        bool waits = false;
+        if (active) {
+            job& j = *found->second;
+            refresh_expectations(state, j, refresh);
+            waits = collect_job(j, is_guaranteed(state, j), now_ms, groups);
+        }
         id = waits ? std::next(id) : state.waiting_jobs.erase(id);
     }
     std::sort(groups.begin(), groups.end(), [](const task_group& a, const task_group& b) {
