--- a/benchmarks/decisions/busy_fleet.cpp
+++ b/benchmarks/decisions/busy_fleet.cpp
@@ -147,8 +147,11 @@
 
 void busy_fleet::repeat_reports(int workers) {
     for (int i = 0; i < workers; ++i) {
-        send(worker_reported{coordinator_fixture::make_report(
+        workers_reported read;
+        read.changes.emplace_back(worker_reported{coordinator_fixture::make_report(
             "worker-" + std::to_string(i), "rack-" + std::to_string(i / workers_per_rack))});
+        read.confirmed_at_ms = now_.monotonic_ms;
+        send(read);
     }
 }
 
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -2,13 +2,12 @@
 
 #include "callback_owner.h"
 #include "job_loader.h"
-#include "platform/documents.h"
 #include "progress_writer.h"
+#include "registry_view.h"
 #include "run_time_store.h"
 #include "scheduler/coordinator.h"
 #include "start_sender.h"
 #include "submission_deletion.h"
-#include "topic_follower.h"
 
 #include <unordered_map>
 
@@ -18,13 +17,8 @@
 
 /** Interval of the coordinator's periodic maintenance. */
 constexpr time_ms tick_ms = 25;
-/** Polling interval of the worker registry. The registry changes with every heartbeat, so reading
- * the changes in batches saves calls. */
-constexpr time_ms registry_interval_ms = 300;
 /** Time that the handling of one event takes from which a line is logged. */
 constexpr time_ms logged_event_ms = 100;
-/** Age of the view of the workers from which a line is logged. */
-constexpr time_ms logged_view_age_ms = 1000;
 
 scheduler::job_state reported_state(const scheduler::job& j) {
     if (scheduler::is_final(j.visible_state)) {
@@ -49,12 +43,9 @@
 
     bool deposed = false;
     time_ms started_at = 0;
-    /** Whether the view of the workers was late at the last tick. */
-    bool view_late = false;
 
     std::optional<loaded_jobs> loaded;
     std::vector<scheduler::job_spec> early_submissions;
-    std::vector<platform::logged_record> registry_records;
     std::optional<scheduler::coordinator_state> state;
     std::unique_ptr<progress_writer> writer;
     std::unique_ptr<start_sender> starts;
@@ -66,7 +57,7 @@
 
     std::shared_ptr<read_limiter> page_reads;
     std::unique_ptr<job_loader> loader;
-    std::unique_ptr<topic_follower> registry_follower;
+    std::unique_ptr<registry_view> registry;
 
     explicit impl(const leader_context& c)
         : context(c), workers(c.http),
@@ -84,7 +75,9 @@
             context.loop, context.store, context.log, context.counters, epoch,
             [this] { loader->load_progress(); }, [this] { handle(scheduler::records_stored{}); },
             [this] { depose("store_fenced"); }});
-        follow_registry();
+        registry = std::make_unique<registry_view>(registry_view_context{
+            context.loop, context.store, context.log, page_reads, [this] { try_recover(); },
+            [this](const scheduler::workers_reported& read) { handle(read); }});
         run_after(context.loop, tick_ms, [](impl& i) { i.tick(); });
     }
 
@@ -115,69 +108,8 @@
         }
     }
 
-    void follow_registry() {
-        follower_options options;
-        options.log_topic = platform::topic::worker_registry;
-        options.wait_ms = 0;
-        options.pause_ms = registry_interval_ms;
-        options.limiter = page_reads;
-        options.on_snapshot = [this](const auto& records) {
-            if (!state) {
-                registry_records = records;
-                context.log.write("leader_loaded",
-                                  "phase=registry records=" + std::to_string(records.size()) +
-                                      " took_ms=" + std::to_string(boottime_now() - started_at));
-                try_recover();
-            } else {
-                replace_registry(records);
-            }
-        };
-        options.on_record = [this](const auto& record) { registry_read(record); };
-        registry_follower =
-            std::make_unique<topic_follower>(context.loop, context.store, std::move(options));
-    }
-
-    void registry_read(const platform::logged_record& record) {
-        if (!state) {
-            registry_records.push_back(record);
-            return;
-        }
-        const time_ms written_after = registry_follower ? registry_follower->written_after_ms() : 0;
-        if (record.value.empty()) {
-            handle(scheduler::worker_unlisted{record.key, true});
-            return;
-        }
-        auto report = platform::decode_worker_report(record.key, record.value);
-        if (!report) {
-            context.log.write("worker_entry_unreadable", "worker=" + record.key + " error=\"" +
-                                                             describe(report.error()) + "\"");
-            handle(scheduler::worker_unlisted{record.key, false});
-            return;
-        }
-        handle(scheduler::worker_reported{std::move(report.value()), written_after});
-    }
-
-    void replace_registry(const std::vector<platform::logged_record>& records) {
-        std::set<std::string> present;
-        for (const auto& record : records) {
-            present.insert(record.key);
-        }
-        std::vector<std::string> missing;
-        for (const auto& [id, w] : state->workers) {
-            if (!present.contains(id)) {
-                missing.push_back(id);
-            }
-        }
-        for (const auto& id : missing) {
-            handle(scheduler::worker_unlisted{id, false});
-        }
-        for (const auto& record : records) {
-            registry_read(record);
-        }
-    }
-
     void try_recover() {
-        if (state || !loaded || !registry_follower || !registry_follower->loaded()) {
+        if (state || !loaded || !registry || !registry->loaded()) {
             return;
         }
         state = scheduler::recover(context.limits, std::move(loaded->jobs), now(),
@@ -192,17 +124,14 @@
                               " jobs=" + std::to_string(state->jobs.size()) +
                               " took_ms=" + std::to_string(boottime_now() - started_at));
         apply_requests();
-        const auto records = std::move(registry_records);
-        registry_records.clear();
-        for (const auto& record : records) {
-            registry_read(record);
-        }
+        const scheduler::workers_reported workers_read = registry->take_loaded();
+        handle(workers_read);
         for (auto& spec : std::exchange(early_submissions, {})) {
             submission_read(std::move(spec));
         }
         handle(scheduler::tick{});
         context.log.write("leader_loaded",
-                          "phase=applied records=" + std::to_string(records.size()) +
+                          "phase=applied records=" + std::to_string(workers_read.changes.size()) +
                               " took_ms=" + std::to_string(boottime_now() - started_at));
         if (context.limits.learned_run_times) {
             learned_run_times = std::make_unique<run_time_store>(
@@ -218,21 +147,9 @@
         }
     }
 
-    /** Logs whether the view of the workers is late. */
-    void observe_view() {
-        const time_ms age = boottime_now() - registry_follower->confirmed_at_ms();
-        const bool late = age >= logged_view_age_ms;
-        if (late != view_late) {
-            view_late = late;
-            context.log.write(late ? "registry_view_late" : "registry_view_current",
-                              "age_ms=" + std::to_string(age) +
-                                  " offset=" + std::to_string(registry_follower->end()));
-        }
-    }
-
     void tick() {
         if (state) {
-            observe_view();
+            registry->log_age();
             handle(scheduler::tick{});
         }
         run_after(context.loop, tick_ms, [](impl& i) { i.tick(); });
--- a/libs/scheduler/include/scheduler/event.h
+++ b/libs/scheduler/include/scheduler/event.h
@@ -18,7 +18,7 @@
     job_spec spec;
 };
 
-/** A worker's registry entry appeared or changed. */
+/** A worker's registry entry appeared or was written again. */
 struct worker_reported {
     worker_report report;
     /** Monotonic time after which the entry was written; 0 if unknown. */
@@ -32,6 +32,18 @@
     bool deleted = false;
 };
 
+using registry_change = std::variant<worker_reported, worker_unlisted>;
+
+/** What one read of the worker registry brought. */
+struct workers_reported {
+    /** In the order in which the registry was changed. */
+    std::vector<registry_change> changes;
+    /** Whether `changes` has every entry of the registry, so that other workers have none. */
+    bool complete = false;
+    /** Monotonic time up to which all changes of the registry were read. */
+    time_ms confirmed_at_ms = 0;
+};
+
 struct guarantees_changed {
     guarantees account_guarantees;
 };
@@ -94,9 +106,8 @@
 
 struct tick {};
 
-using event =
-    std::variant<job_submitted, worker_reported, worker_unlisted, guarantees_changed,
-                 evacuations_changed, poll_answered, poll_failed, start_answered, stop_answered,
-                 records_stored, submissions_deleted, cancel_requested, tick>;
+using event = std::variant<job_submitted, workers_reported, guarantees_changed, evacuations_changed,
+                           poll_answered, poll_failed, start_answered, stop_answered,
+                           records_stored, submissions_deleted, cancel_requested, tick>;
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -233,8 +233,7 @@
     reduce_context& ctx;
 
     void operator()(const job_submitted& e) const { apply_submission(ctx, e.spec); }
-    void operator()(const worker_reported& e) const { apply_report(ctx, e); }
-    void operator()(const worker_unlisted& e) const { apply_unlisted(ctx, e); }
+    void operator()(const workers_reported& e) const { apply_registry(ctx, e); }
     void operator()(const guarantees_changed& e) const {
         ctx.state.account_guarantees = e.account_guarantees;
         ctx.state.plan_needed = true;
--- a/libs/scheduler/src/worker_departure.cpp
+++ b/libs/scheduler/src/worker_departure.cpp
@@ -1,6 +1,9 @@
 #include "worker_loss.h"
 #include "worker_sync.h"
 
+#include <string_view>
+#include <unordered_set>
+
 namespace fulmarworks::scheduler {
 
 namespace {
@@ -18,6 +21,24 @@
            now_ms - w.reported_after_ms < silent_intervals_before_deletion * limits.heartbeat_ms;
 }
 
+/** Returns the listed workers that a complete read of the registry doesn't name. */
+std::vector<std::string> missing_workers(const coordinator_state& state,
+                                         const workers_reported& read) {
+    std::unordered_set<std::string_view> named;
+    for (const auto& change : read.changes) {
+        if (const auto* reported = std::get_if<worker_reported>(&change)) {
+            named.insert(reported->report.incarnation.id);
+        }
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, w] : state.workers) {
+        if (w.listed && !named.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    return missing;
+}
+
 } // namespace
 
 void apply_unlisted(reduce_context& ctx, const worker_unlisted& unlisted) {
@@ -35,4 +56,19 @@
     }
 }
 
+void apply_registry(reduce_context& ctx, const workers_reported& read) {
+    if (read.complete) {
+        for (auto& id : missing_workers(ctx.state, read)) {
+            apply_unlisted(ctx, {std::move(id), false});
+        }
+    }
+    for (const auto& change : read.changes) {
+        if (const auto* reported = std::get_if<worker_reported>(&change)) {
+            apply_report(ctx, *reported);
+        } else {
+            apply_unlisted(ctx, std::get<worker_unlisted>(change));
+        }
+    }
+}
+
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_sync.h
+++ b/libs/scheduler/src/worker_sync.h
@@ -16,6 +16,9 @@
 /** Applies that a worker has no readable registry entry. */
 void apply_unlisted(reduce_context& ctx, const worker_unlisted& unlisted);
 
+/** Applies one read of the worker registry. */
+void apply_registry(reduce_context& ctx, const workers_reported& read);
+
 /** Applies a poll answer: reconciles the worker's lists of runs with the assignments. */
 void apply_poll(reduce_context& ctx, const poll_answered& answer);
 
--- a/libs/scheduler/tests/coordinator_fixture.h
+++ b/libs/scheduler/tests/coordinator_fixture.h
@@ -28,6 +28,10 @@
         }
     }
 
+    void send(registry_change change) {
+        send(workers_reported{{std::move(change)}, false, now.monotonic_ms});
+    }
+
     void advance(time_ms by_ms) {
         now.monotonic_ms += by_ms;
         now.wall_ms += by_ms;
--- a/libs/scheduler/tests/simulated_cluster.h
+++ b/libs/scheduler/tests/simulated_cluster.h
@@ -118,6 +118,9 @@
     };
 
     void send(const event& e);
+    void send(registry_change change) {
+        send(workers_reported{{std::move(change)}, false, now_.monotonic_ms});
+    }
     void execute_call(const timed_call& call);
     /** Returns why a worker doesn't answer a call; nothing if it does. */
     [[nodiscard]] std::optional<order_failure> failure_of(const simulated_worker& w) const;
--- a/tests/fuzz/fuzz_decoders_test.cpp
+++ b/tests/fuzz/fuzz_decoders_test.cpp
@@ -94,6 +94,10 @@
         send_status(platform::decode_worker_status(worker_status.dump()).value());
     }
 
+    void send(scheduler::registry_change change) {
+        send(scheduler::workers_reported{{std::move(change)}, false, now.monotonic_ms});
+    }
+
     void send(const scheduler::event& e) {
         reduce(state, now, e, out);
         while (state.batch_open) {
