--- a/tests/soak/entry_host.cpp
+++ b/tests/soak/entry_host.cpp
@@ -38,7 +38,7 @@
 void start_process(entry_host& host) {
     host.kill_at = 0;
     host.process = std::make_unique<child_process>(
-        std::vector<std::string>{FULMARWORKS_BINARY, "entry", "--settings", host.settings_file},
+        std::vector<std::string>{host.binary, "entry", "--settings", host.settings_file},
         host.log_file);
     if (host.quota != nullptr) {
         host.limited_process = host.process->id();
--- a/tests/soak/entry_host.h
+++ b/tests/soak/entry_host.h
@@ -15,6 +15,8 @@
 /** One entry host: a real process and the proxy between it and the store. */
 struct entry_host {
     std::string name;
+    /** Program that the process runs. */
+    std::string binary = FULMARWORKS_BINARY;
     std::string settings_file;
     std::string log_file;
     std::string caller_address;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -40,6 +40,8 @@
                                     command);
     TCLAP::ValueArg<std::string> logs("l", "logs", "Directory to keep logs in", false, "", "DIR",
                                       command);
+    TCLAP::ValueArg<std::string> binary("b", "binary", "Program of the entry hosts", false, "",
+                                        "FILE", command);
     TCLAP::ValueArg<int> hosts("e", "entry-hosts", "Number of entry hosts", false, 4, "N", command);
     TCLAP::ValueArg<int> workers("w", "workers", "Number of workers", false, 12, "N", command);
     TCLAP::ValueArg<int> interval("i", "job-interval", "Milliseconds between submissions", false,
@@ -50,6 +52,8 @@
     TCLAP::ValueArg<int> large("", "large-hosts", "Hosts that have half a core instead", false, 0,
                                "N", command);
     TCLAP::SwitchArg calm("", "no-faults", "Inject no faults", command);
+    TCLAP::SwitchArg series("", "series", "Inject the fixed series of changes, losses and restarts",
+                            command);
     TCLAP::SwitchArg crashes("c", "worker-crashes",
                              "Let some tasks crash their workers, and capacities shrink", command);
     TCLAP::SwitchArg verbose("v", "verbose", "Print the faults of every seed", command);
@@ -70,7 +74,9 @@
         options.cpu_share = share.getValue();
         options.large_hosts = large.getValue();
         options.faults = !calm.getValue();
+        options.series = series.getValue();
         options.worker_crashes = crashes.getValue();
+        options.binary = binary.getValue();
         options.keep_logs_in = logs.getValue();
         failed += run_and_print(options, verbose.getValue()) ? 0 : 1;
     }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,6 +1,7 @@
 #include "soak_run.h"
 
 #include "entry_host.h"
+#include "fault_series.h"
 #include "free_ports.h"
 #include "soak_client.h"
 #include "soak_worker.h"
@@ -45,14 +46,16 @@
         loop_.every(advance_interval_ms, [this] { advance(); });
         loop_.run_until([] { return false; }, startup_ms);
         schedule_load();
-        if (options_.faults) {
+        if (options_.faults && options_.series) {
+            report_.faults = schedule_series(targets_);
+        } else if (options_.faults) {
             schedule_faults();
         }
         if (options_.worker_crashes) {
             client_->set_crashing_job_interval(crashing_job_interval);
             schedule_capacity_changes();
         }
-        loop_.run_until([] { return false; }, fault_phase_ms);
+        loop_.run_until([] { return false; }, load_ms());
         clear_faults();
         client_->submit_random(false);
         loop_.run_until([this] { return client_->unfinished_jobs() == 0 || is_completion_late(); },
@@ -113,6 +116,9 @@
         hosts_.push_back(make_entry_host(loop_, "entry-" + std::to_string(i), directory_, port,
                                          store_address, limited ? share : unlimited_share));
         hosts_.back().quota = limited ? &quota_ : nullptr;
+        if (!options_.binary.empty()) {
+            hosts_.back().binary = options_.binary;
+        }
         start_process(hosts_.back());
     }
 
@@ -146,8 +152,11 @@
         loop_.after(restart_delay_ms, [&host] { start_process(host); });
     }
 
+    /** Duration of the load and of the faults. */
+    time_ms load_ms() const { return options_.series ? series_ms : fault_phase_ms; }
+
     void schedule_load() {
-        for (time_ms at_ms = 0; at_ms < fault_phase_ms; at_ms += options_.job_interval_ms) {
+        for (time_ms at_ms = 0; at_ms < load_ms(); at_ms += options_.job_interval_ms) {
             const bool cancel = random_between(0, 19) == 0;
             loop_.after(at_ms, [this, cancel] { client_->submit_random(cancel); });
         }
@@ -286,14 +295,8 @@
             break;
         default:
             inject(
-                at_ms, host.name + " reloads its settings", [&host] { signal(host, SIGHUP); }, 0,
-                nullptr);
-        }
-    }
-
-    static void signal(const entry_host& host, int signal_number) {
-        if (host.process) {
-            host.process->signal(signal_number);
+                at_ms, host.name + " reloads its settings",
+                [&host] { host.process ? host.process->signal(SIGHUP) : void(); }, 0, nullptr);
         }
     }
 
@@ -376,6 +379,13 @@
     cpu_quota quota_;
     std::deque<entry_host> hosts_;
     std::unique_ptr<soak_client> client_;
+    fault_targets targets_{loop_,
+                           store_,
+                           hosts_,
+                           workers_,
+                           [this](entry_host& host) { kill(host); },
+                           request_stop,
+                           [this] { client_->submit_random(false); }};
     soak_report report_;
 };
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -16,6 +16,8 @@
     time_ms job_interval_ms = 120;
     /** Whether faults are injected. */
     bool faults = true;
+    /** Whether the fixed series of `schedule_series` is injected instead of random faults. */
+    bool series = false;
     /** Share of a core to which each host is held; 0 leaves the hosts unlimited. */
     double cpu_share = 0;
     /** Number of the first hosts that have `large_cpu_share` instead. */
@@ -23,6 +25,8 @@
     double large_cpu_share = 0.5;
     /** Whether some tasks crash their workers, and capacities shrink and grow. */
     bool worker_crashes = false;
+    /** Program of the entry hosts; empty runs this build's, for comparisons with earlier ones. */
+    std::string binary;
     /** Directory for the logs; empty deletes them after the run. */
     std::string keep_logs_in;
 };
