A configuration is applied and confirmed by a class of its own

What callers saw (rule CONFIG): a host that couldn't decode the operator's newest configuration went on under the one before without an end, and confirmed it to peers, as each read of the store counted as a confirmation of what was in force.

The checker (configuration_history) checks both clauses of the rule for all hosts, in touch or not, as hosts must refuse rather than serve an old version.

Ruled out: peers' views (a host passes on only what it has read itself, with its age; configuration_view_test), restarts, trimmed history, and versions that go back within a process.

--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -2,12 +2,11 @@
 
 #include "callback_owner.h"
 #include "caller_api.h"
-#include "evacuations.h"
+#include "configuration_view.h"
 #include "leader.h"
 #include "leader_elector.h"
 #include "loop_monitor.h"
 #include "peers.h"
-#include "platform/documents.h"
 #include "platform/headers.h"
 #include "start_relay.h"
 #include "topic_follower.h"
@@ -22,13 +21,8 @@
 
 /** Interval of the periodic work of an entry host. */
 constexpr time_ms tick_ms = 25;
-/** Time that a read of the operator's documents waits at the store; a third of the time within
- * which a change must be in force. */
-constexpr time_ms document_wait_ms = 650;
 /** Interval between reads of the list of entry hosts, and between attempts to register in it. */
 constexpr time_ms member_interval_ms = 3000;
-/** Part of the configuration bound that is reserved for the network delay of a request. */
-constexpr time_ms configuration_margin_ms = 150;
 /** Time for which a stopping host accepts connections, until its load balancer has noticed. */
 constexpr time_ms drain_time_ms = 2300;
 /** Partitions over which submissions are spread, if the store allows as many: with these, a store
@@ -59,13 +53,7 @@
     http_client http;
     platform::store_client store;
 
-    std::shared_ptr<const gateway::configuration> configuration;
-    /** The configuration as the operator wrote it; sent to peers. */
-    std::string configuration_text;
-    std::set<std::string> evacuated_domains;
-    /** Time (boottime) up to which a peer confirmed that the configuration is the newest. */
-    time_ms peer_confirmed_at = 0;
-    std::unique_ptr<topic_follower> document_follower;
+    std::unique_ptr<configuration_view> operator_view;
     std::unique_ptr<leader_elector> elector;
     std::unique_ptr<topic_follower> member_follower;
     std::unique_ptr<peers> peer_hosts;
@@ -138,13 +126,20 @@
             loop, http, store, log, counters, settings.internal_address(),
             [this](std::uint64_t known) { return own_view(known); },
             [this](const store_view& view, time_ms sent_at) { apply_view(view, sent_at); },
-            [this] { return configuration ? configuration->version : 0; }});
+            [this] { return operator_view->version(); }});
         relay = std::make_unique<start_relay>(http, payloads, counters);
         api = std::make_unique<caller_api>(caller_context{
             loop, http, store, log, counters, [this] { return valid_configuration(); },
             settings.internal_address(), payloads, *peer_hosts, [this] { return term.get(); },
             [this] { return leader_address(elector->state()); }, [this] { elector->refresh(); }});
-        follow_documents();
+        operator_view = std::make_unique<configuration_view>(
+            configuration_view_context{loop, store, log,
+                                       [this] {
+                                           if (term) {
+                                               term->set_requests(requests());
+                                           }
+                                       },
+                                       [this](bool ok) { update_store_reachable(ok); }});
         elector = std::make_unique<leader_elector>(leader_elector_context{
             loop, store, log, settings.name, settings.internal_address(),
             [this] {
@@ -160,41 +155,21 @@
 
     /** Returns the configuration, or null if another host may already have a newer one in force. */
     std::shared_ptr<const gateway::configuration> valid_configuration() const {
-        const time_ms oldest =
-            boottime_now() - settings.configuration_bound_ms + configuration_margin_ms;
-        return configuration_confirmed_at() >= oldest ? configuration : nullptr;
-    }
-
-    time_ms configuration_confirmed_at() const {
-        return std::max(document_follower->confirmed_at_ms(), peer_confirmed_at);
+        return operator_view->in_force(settings.configuration_bound_ms);
     }
 
     /** Returns this host's view of the store, for peers that cannot read it. */
     std::optional<store_view> own_view(std::uint64_t known_version) const {
-        if (!configuration || document_follower->confirmed_at_ms() == 0) {
-            return std::nullopt;
-        }
-        const time_ms now = boottime_now();
-        store_view view;
-        view.configuration_version = configuration->version;
-        view.configuration_age_ms = now - document_follower->confirmed_at_ms();
-        if (configuration->version > known_version) {
-            view.configuration = configuration_text;
-        }
-        if (elector->state().newest_record) {
-            view.lease = elector->state().newest_record;
-            view.lease_offset = elector->state().newest_offset;
+        auto view = operator_view->view_for_peer(known_version);
+        if (view && elector->state().newest_record) {
+            view->lease = elector->state().newest_record;
+            view->lease_offset = elector->state().newest_offset;
         }
         return view;
     }
 
     void apply_view(const store_view& view, time_ms sent_at) {
-        if (!view.configuration.empty()) {
-            apply_configuration(view.configuration, "peer");
-        }
-        if (configuration && configuration->version >= view.configuration_version) {
-            peer_confirmed_at = std::max(peer_confirmed_at, sent_at - view.configuration_age_ms);
-        }
+        operator_view->apply_peer_view(view, sent_at);
         if (view.lease) {
             elector->apply_record(view.lease_offset, *view.lease);
         }
@@ -256,20 +231,6 @@
         }
     }
 
-    void follow_documents() {
-        follower_options options;
-        options.log_topic = platform::topic::operator_documents;
-        options.wait_ms = document_wait_ms;
-        options.on_snapshot = [this](const auto& records) {
-            set_evacuated_domains(evacuated_domains_of(records));
-            std::for_each(records.begin(), records.end(),
-                          [this](const auto& r) { apply_document(r); });
-        };
-        options.on_record = [this](const auto& record) { apply_document(record); };
-        options.on_read = [this](bool ok) { update_store_reachable(ok); };
-        document_follower = std::make_unique<topic_follower>(loop, store, std::move(options));
-    }
-
     void update_store_reachable(bool ok) {
         if (ok != store_reachable) {
             store_reachable = ok;
@@ -277,53 +238,10 @@
         }
     }
 
-    void apply_document(const platform::logged_record& record) {
-        if (auto domains = evacuated_domains; apply_evacuation(domains, record)) {
-            set_evacuated_domains(std::move(domains));
-            return;
-        }
-        if (record.key != platform::configuration_key || record.value.empty()) {
-            return;
-        }
-        apply_configuration(record.value, "store");
-    }
-
-    void apply_configuration(const std::string& text, const char* source) {
-        auto decoded = platform::decode_configuration(text);
-        if (!decoded) {
-            log.write("configuration_unreadable", std::string("source=") + source + " error=\"" +
-                                                      describe(decoded.error()) + "\"");
-            return;
-        }
-        if (configuration && decoded.value().version <= configuration->version) {
-            return;
-        }
-        log.write("configuration_in_force",
-                  "version=" + std::to_string(decoded.value().version) + " source=" + source +
-                      " confirmed_ms_ago=" +
-                      std::to_string(boottime_now() - configuration_confirmed_at()) +
-                      " routes=" + std::to_string(decoded.value().routes.size()) +
-                      " keys=" + std::to_string(decoded.value().account_by_key.size()));
-        configuration = std::make_shared<const gateway::configuration>(std::move(decoded.value()));
-        configuration_text = text;
-        if (term) {
-            term->set_requests(requests());
-        }
-    }
-
     operator_requests requests() const {
+        const auto& configuration = operator_view->newest();
         return {configuration ? configuration->guarantees : scheduler::guarantees{},
-                evacuated_domains};
-    }
-
-    void set_evacuated_domains(std::set<std::string> domains) {
-        if (domains == evacuated_domains) {
-            return;
-        }
-        evacuated_domains = std::move(domains);
-        if (term) {
-            term->set_requests(requests());
-        }
+                operator_view->evacuated_domains()};
     }
 
     /** Starts or ends this host's term after its leadership has changed. */
@@ -355,12 +273,12 @@
                                           " cpu_ms=" + std::to_string(last.cpu_ms) +
                                           " leader=" + std::to_string(term ? 1 : 0));
         }
-        const bool expired = configuration && !valid_configuration();
+        const bool expired = operator_view->newest() && !valid_configuration();
         if (expired != configuration_expired) {
             configuration_expired = expired;
             log.write(expired ? "configuration_expired" : "configuration_confirmed",
-                      "version=" + std::to_string(configuration->version) + " age_ms=" +
-                          std::to_string(boottime_now() - configuration_confirmed_at()));
+                      "version=" + std::to_string(operator_view->version()) + " age_ms=" +
+                          std::to_string(boottime_now() - operator_view->confirmed_at_ms()));
         }
     }
 
