Changes of routes and keys don't make the leader plan anew

Each version of the configuration was handed to the leader as a change of the guarantees, upon which it plans all waiting jobs: three times a second in a series of changes, though routes and keys don't concern it. It hears now of changed guarantees and evacuations only.

Evidence: configuration_view_test; before, each version was a change. What it saves a leader with a backlog wasn't measured.

--- a/libs/node/src/configuration_view.cpp
+++ b/libs/node/src/configuration_view.cpp
@@ -106,16 +106,20 @@
             " confirmed_ms_ago=" + std::to_string(boottime_now() - confirmed_at_ms()) +
             " routes=" + std::to_string(decoded.value().routes.size()) +
             " keys=" + std::to_string(decoded.value().account_by_key.size()));
+    const bool other_guarantees =
+        !configuration_ || configuration_->guarantees != decoded.value().guarantees;
     configuration_ = std::make_shared<const gateway::configuration>(std::move(decoded.value()));
     configuration_text_ = text;
-    context_.on_change();
+    if (other_guarantees) {
+        context_.on_requests_change();
+    }
     return true;
 }
 
 void configuration_view::set_evacuated_domains(std::set<std::string> domains) {
     if (domains != evacuated_domains_) {
         evacuated_domains_ = std::move(domains);
-        context_.on_change();
+        context_.on_requests_change();
     }
 }
 
--- a/libs/node/src/configuration_view.h
+++ b/libs/node/src/configuration_view.h
@@ -20,8 +20,9 @@
     event_loop& loop;
     platform::store_client& store;
     decision_log& log;
-    /** Called after the configuration or the evacuated failure domains have changed. */
-    std::function<void()> on_change;
+    /** Called after what concerns the leader has changed: the guarantees of the accounts or the
+     * evacuated failure domains. */
+    std::function<void()> on_requests_change;
     /** Called after each read of the store with whether it succeeded. */
     std::function<void(bool ok)> on_read;
 };
