--- a/tests/soak/configuration_history.h
+++ b/tests/soak/configuration_history.h
@@ -20,6 +20,7 @@
 
 /** A call of a route, as its caller saw it. */
 struct observed_call {
+    /** Name of one incarnation of a host. */
     std::string host;
     std::string route;
     std::string key;
@@ -42,9 +43,6 @@
 
     void publish(published_version version) { versions_.push_back(std::move(version)); }
 
-    /** Forgets what calls have shown of a host; call when its process has ended. */
-    void restarted(const std::string& host) { shown_.erase(host); }
-
     /** Checks a call. Precondition: a version has been published. */
     void observe(const observed_call& call);
 
--- a/tests/soak/configuration_history_test.cpp
+++ b/tests/soak/configuration_history_test.cpp
@@ -41,10 +41,9 @@
     for (const bool restarted : {false, true}) {
         auto history = two_versions();
         history.observe(make_call("new", 5100, 200));
-        if (restarted) {
-            history.restarted("h");
-        }
-        history.observe(make_call("old", 5400, 200));
+        auto later = make_call("old", 5400, 200);
+        later.host += restarted ? " restarted" : "";
+        history.observe(later);
         CHECK(history.violations().size() == (restarted ? 0 : 1));
     }
 }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak_run.h"
 
+#include "configuration_changes.h"
 #include "entry_host.h"
 #include "free_ports.h"
 #include "soak_client.h"
@@ -25,6 +26,8 @@
 /** Five crashes under each task that crashes workers, at intervals of some seconds. */
 constexpr time_ms longest_completion_ms = 60'000;
 constexpr time_ms advance_interval_ms = 10;
+/** A call that tells versions of the configuration apart is sent every 50 ms. */
+constexpr time_ms probe_interval_ms_per_host = 50;
 constexpr time_ms restart_delay_ms = 300;
 constexpr time_ms stop_grace_ms = 6000;
 constexpr int workers_per_rack = 6;
@@ -47,7 +50,9 @@
         schedule_load();
         if (options_.faults) {
             schedule_faults();
+            changes_->schedule_changes(options_.seed + 3, fault_phase_ms);
         }
+        changes_->probe_every(probe_interval_ms_per_host * options_.entry_hosts);
         if (options_.worker_crashes) {
             client_->set_crashing_job_interval(crashing_job_interval);
             schedule_capacity_changes();
@@ -59,6 +64,9 @@
                         longest_completion_ms);
         checker_.check_final_state();
         report_.violations = checker_.violations();
+        for (const auto& violation : changes_->history().violations()) {
+            report_.violations.push_back("CONFIG " + violation);
+        }
         report_.evidence = collect_evidence(checker_, host_logs());
         report_.summary = summarise();
         return report_;
@@ -78,7 +86,8 @@
         const int port =
             find_free_ports(1 + options_.entry_hosts * ports_per_host + options_.workers);
         throw_on_error(store_.listen(loopback(port)));
-        store_.put("keyed.op", "config", soak_configuration());
+        changes_ = std::make_unique<configuration_changes>(loop_, store_, hosts_,
+                                                           json::parse(soak_configuration()));
         for (int i = 0; i < options_.workers; ++i) {
             add_worker(i, port + 1 + options_.entry_hosts * ports_per_host + i);
         }
@@ -376,6 +385,7 @@
     cpu_quota quota_;
     std::deque<entry_host> hosts_;
     std::unique_ptr<soak_client> client_;
+    std::unique_ptr<configuration_changes> changes_;
     soak_report report_;
 };
 
