--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -1,38 +1,16 @@
 #include "fault_series.h"
 
-#include "soak_client.h"
-
 namespace fulmarworks::soak {
 
 namespace {
 
 constexpr time_ms change_interval_ms = 330;
-/** Every eighth change is as large as the platform's largest. */
-constexpr int large_change_interval = 8;
-constexpr int routes_of_large_change = 350;
-constexpr int routes_of_change = 20;
 constexpr time_ms notice_ms = 4000;
 constexpr time_ms absence_ms = 3000;
 /** Time over which simultaneous kills are spread. */
 constexpr time_ms kill_spread_ms = 200;
 constexpr time_ms burst_interval_ms = 12;
 
-/** Returns the configuration of the soak's queues with further routes. */
-std::string make_change(int version) {
-    json changed = json::parse(soak_configuration());
-    changed["version"] = version;
-    const int routes =
-        version % large_change_interval == 0 ? routes_of_large_change : routes_of_change;
-    json route = changed["routes"].front();
-    for (int i = 0; i < routes; ++i) {
-        const std::string name = "x" + std::to_string(version) + "-" + std::to_string(i);
-        route["name"] = name;
-        route["pathPrefix"] = "/" + name + "/";
-        changed["routes"].push_back(route);
-    }
-    return changed.dump();
-}
-
 class series {
 public:
     explicit series(const fault_targets& targets) : targets_(targets) {}
@@ -60,9 +38,7 @@
     void change_configuration(time_ms at_ms, time_ms duration_ms) {
         add(at_ms, "the configuration changes for " + std::to_string(duration_ms) + " ms");
         for (time_ms t = at_ms; t < at_ms + duration_ms; t += change_interval_ms) {
-            targets_.loop.after(t, [store = &targets_.store, version = ++version_] {
-                store->put("keyed.op", "config", make_change(version));
-            });
+            targets_.loop.after(t, targets_.change_configuration);
         }
     }
 
@@ -114,7 +90,6 @@
     }
 
     const fault_targets& targets_;
-    int version_ = 1;
     std::vector<std::string> lines_;
 };
 
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -23,6 +23,8 @@
     /** Stops a host gracefully and starts it again. */
     std::function<void(entry_host&)> stop;
     std::function<void()> submit;
+    /** Writes another version of the configuration. */
+    std::function<void()> change_configuration;
 };
 
 /** Duration of the series. */
