Take-over: submissions are decoded as their pages arrive

Cause: job_loader kept all submissions as text and decoded them in one go once the last page had come, on the loop that renews the lease: work that grows with the backlog. Now each partition's records are decoded as they are read; what is left at the end is moving them.

The effect alone wasn't measured.

--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -25,7 +25,9 @@
     bool submissions_complete = false;
     bool loaded = false;
     std::unordered_map<std::string, std::string> progress_records;
-    std::unordered_map<std::string, std::string> submission_records;
+    /** Decoded as they are read, page by page, as thousands at once would hold up the renewal of
+     * the lease. Empty if the submission can't be decoded. */
+    std::unordered_map<std::string, std::optional<scheduler::job_spec>> submitted;
     page_timeout timeout;
     /** One for each partition of the submissions. */
     std::vector<std::unique_ptr<topic_follower>> submission_followers;
@@ -52,8 +54,10 @@
     }
 
     void record_read(const platform::logged_record& record) {
-        if (!loaded) {
-            submission_records[record.key] = record.value;
+        if (!loaded && record.value.empty()) {
+            submitted.erase(record.key);
+        } else if (!loaded) {
+            submitted[record.key] = decode(record.key, record.value);
         } else if (!record.value.empty()) {
             if (auto spec = decode(record.key, record.value)) {
                 context.on_submission(std::move(*spec));
@@ -126,7 +130,7 @@
         catch_up_all(guarded([](impl& i, bool ok) {
             if (ok) {
                 i.submissions_complete = true;
-                i.log_phase("submissions", i.submission_records.size());
+                i.log_phase("submissions", i.submitted.size());
                 i.finish_if_complete();
             } else {
                 i.retry_read_missing_submissions();
@@ -179,11 +183,7 @@
             return;
         }
         loaded_jobs found;
-        for (auto& [id, data] : submission_records) {
-            if (data.empty()) {
-                continue;
-            }
-            auto spec = decode(id, data);
+        for (auto& [id, spec] : submitted) {
             const auto job_progress = progress_records.find(id);
             if (spec) {
                 found.jobs.push_back({std::move(*spec), job_progress == progress_records.end()
@@ -196,7 +196,7 @@
         for (auto& [id, data] : progress_records) {
             found.orphaned_progress.push_back(id);
         }
-        submission_records.clear();
+        submitted.clear();
         progress_records.clear();
         loaded = true;
         context.on_loaded(std::move(found));
