Event loop: timers and lease calls run before the answers that wait

What callers saw: leadership that moved without a disruption.

Cause: libevent runs everything that one epoll call returns before it looks at timers again, in one queue. The tick that renews the lease, and the answer that allows the next renewal, waited behind the answers of hundreds of workers and what the leader does for each.

Timers, and calls on the leadership topic, have their own priority; after 20 ms or 32 callbacks the loop looks for them again. Answers aren't starved: each round handles a batch of them.

--- a/libs/http/include/http/event_loop.h
+++ b/libs/http/include/http/event_loop.h
@@ -9,7 +9,11 @@
 
 namespace fulmarworks {
 
-/** Event loop on libevent. Not thread safe; all callbacks run on the thread that calls `run`. */
+/**
+ * Event loop on libevent. Timers and prompt calls run before other events, so a lease is renewed in
+ * time also while hundreds of answers wait. Not thread safe; all callbacks run on the thread that
+ * calls `run`.
+ */
 class event_loop {
 public:
     /** Ignores SIGPIPE in the whole process. Throws std::runtime_error if libevent fails. */
--- a/libs/http/src/event_loop.cpp
+++ b/libs/http/src/event_loop.cpp
@@ -1,14 +1,36 @@
 #include "http/event_loop.h"
 
+#include "loop_priority.h"
+
 #include <csignal>
 #include <event2/event.h>
 #include <list>
+#include <memory>
 #include <stdexcept>
 
 namespace fulmarworks {
 
 namespace {
 
+/** Bounds of what runs between two checks for timers and prompt calls. */
+constexpr timeval longest_batch = {0, 20'000};
+constexpr int longest_batch_callbacks = 32;
+
+event_base* make_event_base() {
+    const std::unique_ptr<event_config, void (*)(event_config*)> config(event_config_new(),
+                                                                        event_config_free);
+    if (!config ||
+        event_config_set_max_dispatch_interval(config.get(), &longest_batch,
+                                               longest_batch_callbacks, usual_priority) != 0) {
+        return nullptr;
+    }
+    event_base* base = event_base_new_with_config(config.get());
+    if (base != nullptr) {
+        event_base_priority_init(base, priority_count);
+    }
+    return base;
+}
+
 struct registration {
     std::function<void()> action;
     struct event* handle = nullptr;
@@ -50,13 +72,14 @@
                    const timeval* timeout) {
         registration& r = add(std::move(action), once);
         r.handle = event_new(base, descriptor, flags, run_registration, &r);
+        event_priority_set(r.handle, descriptor < 0 ? prompt_priority : usual_priority);
         event_add(r.handle, timeout);
     }
 };
 
 event_loop::event_loop() : impl_(std::make_unique<impl>()) {
     std::signal(SIGPIPE, SIG_IGN);
-    impl_->base = event_base_new();
+    impl_->base = make_event_base();
     if (impl_->base == nullptr) {
         throw std::runtime_error("cannot create the event loop; check the limit of descriptors");
     }
