Scheduler: the end of a completed run is never dropped

Cause: an end whose run isn't its task's current one was applied only if the task was idle or placed, in no gang, and its run number hadn't moved on. In all other cases it was dropped, and then confirmed to its worker, which forgot it.

Now one function, complete_run, decides for every phase of the task and of the other members of its gang (table in completion.h): the task completes, a newer run of it that has not begun is withdrawn, one that has begun is stopped, and the task is stored as complete before the end is confirmed.

The simulated workers of the scheduler's tests went on working after their leases had run out, and one test ("workers that were only silent ...") needed the ends of such runs to be dropped. They now end their runs with their leases, as workers do.

Ruled out: an earlier leader's state. Completions are stored before they are confirmed, and the store is fenced before a new leader reads it. Not changed: ends of earlier runs as failed still don't count as attempts.

--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -47,6 +47,9 @@
     task_phase phase = task_phase::idle;
     /** Number of the latest start, counted from 1; 0 before the first. */
     std::uint32_t run = 0;
+    /** Whether an earlier run has completed while the current one was under way. The task is stored
+     * as complete, and becomes so as soon as the current run is over. */
+    bool completed_earlier = false;
     std::uint32_t failures = 0;
     loss_count losses;
     /** Monotonic time at which a worker was last lost under the task; 0 if none was. */
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -71,6 +71,9 @@
 enum class stored_phase { idle, assigned, complete };
 
 stored_phase stored_phase_of(const task& t) {
+    if (t.completed_earlier) {
+        return stored_phase::complete;
+    }
     switch (t.phase) {
     case task_phase::idle: return stored_phase::idle;
     case task_phase::complete: return stored_phase::complete;
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "lifecycle.h"
 
+#include "completion.h"
 #include "expected_run.h"
 #include "overbooking.h"
 #include "speed_learning.h"
@@ -25,61 +26,6 @@
 /** Time for which a worker on which tasks fail gets no new ones. */
 constexpr time_ms quarantine_ms = 6000;
 
-void release_capacity(reduce_context& ctx, const task_id& id, task& t) {
-    if (worker* w = find_worker(ctx.state, t.where.id)) {
-        w->assigned.erase(id);
-        ctx.state.capacities.mark_stale(t.where.id);
-    }
-    t.where = {};
-    t.order_attempts = 0;
-    t.stop_confirmed_at_ms = 0;
-    ctx.state.plan_needed = true;
-}
-
-void make_idle(reduce_context& ctx, const task_ref& ref) {
-    ref.item->phase = task_phase::idle;
-    ctx.state.waiting_jobs.insert(ref.owner->spec.id);
-}
-
-void complete_task(reduce_context& ctx, const task_id& id, const task_ref& ref) {
-    release_capacity(ctx, id, *ref.item);
-    ref.item->phase = task_phase::complete;
-    ref.item->checkpoint.clear();
-    ++ref.progress->complete_count;
-}
-
-/** Records a run whose end the worker has not listed yet. */
-void track_ending_run(reduce_context& ctx, const task_id& id, const task_ref& ref) {
-    worker* w = find_worker(ctx.state, ref.item->where.id);
-    if (w != nullptr && is_assigned(ref.item->phase)) {
-        w->orphaned_runs.push_back(
-            {id, ref.item->run, booked_resources(*ref.spec), ctx.now.monotonic_ms, true});
-        ctx.state.capacities.mark_stale(w->report.incarnation.id);
-    }
-}
-
-void complete(reduce_context& ctx, const task_ref& ref, const ended_run& end) {
-    if (!ref.spec->gang) {
-        complete_task(ctx, end.task, ref);
-        return;
-    }
-    // The end of one member completes the gang; the workers of the other members may list theirs
-    // later.
-    for (std::uint32_t i = 0; i < ref.progress->tasks.size(); ++i) {
-        task_id member = end.task;
-        member.index = i;
-        const task_ref member_ref{ref.owner, ref.parent, ref.progress, ref.spec,
-                                  &ref.progress->tasks[i]};
-        if (member_ref.item->phase == task_phase::complete) {
-            continue;
-        }
-        if (i != end.task.index) {
-            track_ending_run(ctx, member, member_ref);
-        }
-        complete_task(ctx, member, member_ref);
-    }
-}
-
 void record_failed_job(reduce_context& ctx, const std::string& worker_id,
                        const std::string& job_id) {
     worker* w = find_worker(ctx.state, worker_id);
@@ -288,9 +234,10 @@
                  describe_task(id, ref.item->run) + " worker=" + ref.item->where.id +
                      " reason=" + std::string(reason));
     release_capacity(ctx, id, *ref.item);
-    make_idle(ctx, ref);
+    leave_run(ctx, ref);
     mark_changed(ctx, *ref.owner);
     stop_rest_of_gang(ctx, id, ref);
+    end_job_if_final(ctx, *ref.owner);
 }
 
 void apply_end(reduce_context& ctx, const task_ref& ref, const ended_run& end) {
@@ -305,22 +252,22 @@
         }
         measure_end(ctx, end.task, ref);
         record_run_time(ctx.state, ref, ctx.now.monotonic_ms);
-        complete(ctx, ref, end);
-        if (ref.progress->complete()) {
-            ref.progress->rates = {};
-        }
+        complete_run(ctx, ref, end);
     } else {
-        if (end.reason == end_reason::failed) {
+        if (end.reason == end_reason::failed && !ref.item->completed_earlier) {
             count_failure(ctx, ref, end);
         }
         release_capacity(ctx, end.task, *ref.item);
-        make_idle(ctx, ref);
+        leave_run(ctx, ref);
         stop_rest_of_gang(ctx, end.task, ref);
     }
     mark_changed(ctx, owner);
-    const job_state state = derive_state(owner);
-    if (!owner.ended() && is_final(state)) {
-        end_job(ctx, owner);
+    end_job_if_final(ctx, owner);
+}
+
+void end_job_if_final(reduce_context& ctx, job& j) {
+    if (!j.ended() && is_final(derive_state(j))) {
+        end_job(ctx, j);
     }
 }
 
--- a/libs/scheduler/src/lifecycle.h
+++ b/libs/scheduler/src/lifecycle.h
@@ -66,6 +66,9 @@
 /** Marks a job as ended and stops its remaining runs. */
 void end_job(reduce_context& ctx, job& j);
 
+/** Ends a job whose progress has reached a final state. */
+void end_job_if_final(reduce_context& ctx, job& j);
+
 /** Creates the occurrences that are due. */
 void create_due_occurrences(reduce_context& ctx, job& j);
 
--- a/libs/scheduler/src/lookup.cpp
+++ b/libs/scheduler/src/lookup.cpp
@@ -36,4 +36,9 @@
     return need;
 }
 
+bool is_current(const task_ref& ref, const worker& w, std::uint32_t run) {
+    return ref && is_assigned(ref.item->phase) && ref.item->run == run &&
+           ref.item->where == w.report.incarnation;
+}
+
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/lookup.h
+++ b/libs/scheduler/src/lookup.h
@@ -41,6 +41,9 @@
     return phase != task_phase::idle && phase != task_phase::complete;
 }
 
+/** Returns whether `run` is the task's current run and on this incarnation of the worker. */
+[[nodiscard]] bool is_current(const task_ref& ref, const worker& w, std::uint32_t run);
+
 /** Returns the resources that a task of the step books on a worker. */
 [[nodiscard]] resources booked_resources(const step_spec& spec);
 
--- /dev/null
+++ b/libs/scheduler/src/run_lists.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lifecycle.h"
+
+namespace fulmarworks::scheduler {
+
+/** Applies that the worker of a task confirmed its run. */
+void confirm_run(task& t, time_ms now_ms);
+
+/** Applies the ended runs that a worker lists and schedules their confirmation. */
+void apply_ends(reduce_context& ctx, worker& w, const std::vector<ended_run>& ends);
+
+/** Reconciles the assignments of a worker with the active runs that it lists. Call it after
+ * `apply_ends`. */
+void reconcile_runs(reduce_context& ctx, worker& w, const poll_answered& answer);
+
+} // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -174,7 +174,7 @@
     for (const auto& id : tasks) {
         const task_ref ref = find_task(ctx.state, id);
         const bool runs_well = ref && is_assigned(ref.item->phase) && ref.item->proven;
-        if (!ref || ref.owner->ended() || runs_well) {
+        if (!ref || ref.owner->ended() || runs_well || ref.item->completed_earlier) {
             continue;
         }
         const loss_count& losses = ref.item->losses;
--- a/libs/scheduler/tests/simulated_cluster.cpp
+++ b/libs/scheduler/tests/simulated_cluster.cpp
@@ -120,6 +120,7 @@
         now_.monotonic_ms,
         run_time.usual_ms};
     first_start_ms_.try_emplace(order.task, now_.monotonic_ms);
+    w.lease_ends_at_ms = std::max(w.lease_ends_at_ms, order.deadline_at_worker_ms);
     if (crash_delay != crash_delays_ms_.end() && crash_delay->second == 0) {
         crash(w);
         send(
@@ -170,6 +171,7 @@
         return;
     }
     std::erase_if(w.ended, [&](const auto& e) { return e.sequence <= order.stored_sequence; });
+    w.lease_ends_at_ms = std::max(w.lease_ends_at_ms, order.lease_ends_at_worker_ms);
     if (w.ended.empty() && order.wait_ms > 0) {
         // Long poll: the worker delays its answer until a run ends or the wait time is over.
         send_poll deferred = order;
@@ -194,12 +196,13 @@
 void simulated_cluster::end_due_runs() {
     for (auto& [id, w] : workers_) {
         for (auto it = w.runs.begin(); it != w.runs.end();) {
-            if (it->second.ends_at_ms > now_.monotonic_ms) {
+            const bool lapsed = w.lease_ends_at_ms <= now_.monotonic_ms;
+            if (!lapsed && it->second.ends_at_ms > now_.monotonic_ms) {
                 ++it;
                 continue;
             }
-            w.ended.push_back(
-                {w.next_end_sequence++, it->first, it->second.number, it->second.reason, ""});
+            const end_reason reason = lapsed ? end_reason::lease_expired : it->second.reason;
+            w.ended.push_back({w.next_end_sequence++, it->first, it->second.number, reason, ""});
             it = w.runs.erase(it);
         }
     }
@@ -227,6 +230,7 @@
     w.crashed_at_ms = now_.monotonic_ms;
     w.runs.clear();
     w.ended.clear();
+    w.lease_ends_at_ms = 0;
     w.next_end_sequence = 1;
 }
 
--- a/libs/scheduler/tests/simulated_cluster.h
+++ b/libs/scheduler/tests/simulated_cluster.h
@@ -105,6 +105,8 @@
         time_ms capacity_changed_at_ms = 0;
         /** Monotonic time until which the worker answers nobody. */
         time_ms cut_until_ms = 0;
+        /** End of the lease, on the virtual clock. All runs end with it. */
+        time_ms lease_ends_at_ms = 0;
         std::map<task_id, simulated_run> runs;
         std::vector<ended_run> ended;
         std::uint64_t next_end_sequence = 1;
