Scheduler: a list of runs that may be incomplete shows no run to be over

Cause: a worker lists 500 ended runs at a time. After an outage of the store, in which ends can't be confirmed, a run whose end was beyond these was neither active nor ended in the list, and counted as vanished, unknown to the worker, or never started. Rows that couldn't be decoded were skipped without a line, with the same effect.

Later lists follow once the first ends are stored and confirmed, so the run is resolved then; a silent worker's runs still end with its lease. Unreadable rows are logged.

Open: a row of an end that can't be read and is followed by no later end keeps its worker's lists incomplete; a task whose run it was waits until the worker lists a later end or leaves. The log names the worker.

--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -50,7 +50,13 @@
     /** Worker's steady clock when it answered. */
     time_ms clock_ms = 0;
     std::vector<active_run> active;
+    /** In order of their sequence numbers. */
     std::vector<ended_run> ended;
+    /** Whether these lists may lack runs that the worker still knows: it lists only some of its
+     * ended runs at a time, or rows could not be read. */
+    bool incomplete = false;
+    /** Number of rows that could not be read. */
+    std::size_t unreadable_rows = 0;
 };
 
 /** A run that a worker lists but that matches no current assignment. It still occupies capacity. */
--- a/libs/scheduler/src/run_lists.cpp
+++ b/libs/scheduler/src/run_lists.cpp
@@ -63,6 +63,8 @@
 
 /**
  * Releases an assignment that the worker does not list, once no start of the run can take effect.
+ * Precondition: the worker's lists are complete. Otherwise the run may have ended and be listed
+ * once the worker has forgotten earlier ends.
  */
 void reconcile_unlisted(reduce_context& ctx, const task_id& id, const task_ref& ref,
                         const poll_answered& answer) {
@@ -144,6 +146,9 @@
             track_orphaned_run(ctx, w, run);
         }
     }
+    if (answer.status.incomplete) {
+        return;
+    }
     std::vector<task_id> unlisted;
     std::set_difference(w.assigned.begin(), w.assigned.end(), listed.begin(), listed.end(),
                         std::back_inserter(unlisted));
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -174,6 +174,11 @@
     w.answered_at_ms = ctx.now.monotonic_ms;
     w.alive_at_ms = std::max(w.alive_at_ms, answer.sent_at_ms);
     set_clock_reference(w, answer.status.clock_ms, ctx.now.monotonic_ms);
+    if (answer.status.unreadable_rows > 0) {
+        log_decision(ctx, "worker_lists_unreadable",
+                     "worker=" + answer.worker +
+                         " rows=" + std::to_string(answer.status.unreadable_rows));
+    }
     apply_ends(ctx, w, answer.status.ended);
     reconcile_runs(ctx, w, answer);
     send_allowed_starts(ctx, w);
