--- a/libs/scheduler/src/lifecycle.h
+++ b/libs/scheduler/src/lifecycle.h
@@ -20,6 +20,9 @@
 /** Marks the progress of a job as changed, so that the next batch stores it. */
 void mark_changed(reduce_context& ctx, const job& j);
 
+/** Marks a job as one that may have idle tasks. */
+void mark_waiting(coordinator_state& state, const job& j);
+
 /**
  * Adds a job that has not ended to the sets of waiting and recurring jobs and to its account's
  * urgent demand.
@@ -66,6 +69,9 @@
 /** Marks a job as ended and stops its remaining runs. */
 void end_job(reduce_context& ctx, job& j);
 
+/** Ends a job whose progress has reached a final state. */
+void end_job_if_final(reduce_context& ctx, job& j);
+
 /** Creates the occurrences that are due. */
 void create_due_occurrences(reduce_context& ctx, job& j);
 
