Scheduler: nothing is placed or started under a view of the registry that is too old

Cause: the leader started tasks whatever the age of its view of the worker registry. While its reads failed or fell behind, or while it was short of processor time, it went on starting tasks on workers that had begun to drain since its last read.

Now the leader has a permission that runs out. A new leader's first view counts from before its first page. While the view is older, nothing is placed, started or sent again; running work and renewals go on; the log says starts_held and, with the next read, starts_resumed.

--- a/benchmarks/decisions/busy_fleet.cpp
+++ b/benchmarks/decisions/busy_fleet.cpp
@@ -79,6 +79,7 @@
 
 void busy_fleet::send(const event& e) {
     const auto start = std::chrono::steady_clock::now();
+    state_.registry_confirmed_at_ms = now_.monotonic_ms;
     reduce(state_, now_, e, pending_effects_);
     const std::chrono::duration<double, std::micro> elapsed =
         std::chrono::steady_clock::now() - start;
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -109,6 +109,7 @@
     r.seconds("stop_grace_s", s.stop_grace_ms);
     r.positive("configuration_bound_ms", s.configuration_bound_ms);
     r.positive("max_lease_ms", s.limits.max_lease_ms);
+    r.positive("drain_bound_ms", s.limits.drain_bound_ms);
     r.positive("heartbeat_ms", s.limits.heartbeat_ms);
     r.positive("stop_timeout_ms", s.limits.stop_timeout_ms);
     r.positive("reclaim_ms", s.limits.reclaim_ms);
--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -62,6 +63,11 @@
     settings limits;
     std::map<std::string, std::unique_ptr<job>> jobs;
     std::map<std::string, worker> workers;
+    /** Monotonic time up to which all changes of the worker registry are known; none before the
+     * first read. */
+    std::optional<time_ms> registry_confirmed_at_ms;
+    /** Whether starts wait until the view of the registry is current. */
+    bool starts_held = false;
     guarantees account_guarantees;
     /** Failure domains in which nothing new starts. */
     std::set<std::string> evacuated_domains;
--- a/libs/scheduler/include/scheduler/effect.h
+++ b/libs/scheduler/include/scheduler/effect.h
@@ -35,6 +35,8 @@
     std::string payload;
     std::string checkpoint;
     time_ms deadline_at_worker_ms = 0;
+    /** Monotonic time of the host that sends the start, after which it doesn't. */
+    time_ms send_until_ms = 0;
 };
 
 struct send_stop {
--- a/libs/scheduler/include/scheduler/settings.h
+++ b/libs/scheduler/include/scheduler/settings.h
@@ -11,6 +11,9 @@
     /** Interval in which workers write their registry entries. The registry deletes an entry after
      * three intervals of silence, or when the worker has left. */
     time_ms heartbeat_ms = 1500;
+    /** Time after the registry accepted that a worker drains from which no task may be started
+     * there. */
+    time_ms drain_bound_ms = 2000;
     /** Maximum time that a worker takes to stop a run. */
     time_ms stop_timeout_ms = 400;
     /** Time within which guaranteed urgent work must have started. */
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -5,6 +5,7 @@
 #include "lifecycle.h"
 #include "scheduler/codec.h"
 #include "speed_learning.h"
+#include "start_permission.h"
 #include "start_planner.h"
 #include "worker_loss.h"
 #include "worker_sync.h"
@@ -306,7 +307,11 @@
     reduce_context ctx{state, now, out};
     std::visit(event_handler{ctx}, e);
     if (state.plan_needed && !state.batch_open) {
-        execute_plan(ctx);
+        if (has_current_view(state, now.monotonic_ms)) {
+            execute_plan(ctx);
+        } else if (!state.waiting_jobs.empty()) {
+            hold_starts(ctx);
+        }
     }
     flush(ctx);
 }
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -3,6 +3,7 @@
 #include "expected_run.h"
 #include "overbooking.h"
 #include "speed_learning.h"
+#include "start_permission.h"
 
 #include <algorithm>
 
@@ -216,7 +217,8 @@
     t.start_expires_at_worker_ms = std::max(t.start_expires_at_worker_ms, deadline);
     grant_lease(w, deadline);
     ctx.out.emplace_back(send_start{t.where, w.report.address, id, t.run, ref.owner->spec.payload,
-                                    t.checkpoint, deadline});
+                                    t.checkpoint, deadline,
+                                    ctx.now.monotonic_ms + start_sending_limit(ctx.state.limits)});
 }
 
 void release_placed_tasks(reduce_context& ctx, worker& w, std::string_view reason) {
@@ -249,11 +251,17 @@
         return;
     }
     release_excess_placements(ctx, w);
+    const bool current_view = has_current_view(ctx.state, ctx.now.monotonic_ms);
     for (const auto& id : w.assigned) {
         const task_ref ref = find_task(ctx.state, id);
-        if (ref && ref.item->phase == task_phase::placed && ref.item->start_allowed &&
-            !awaits_answer(*ref.item, w, ctx.now.monotonic_ms)) {
+        if (!ref || ref.item->phase != task_phase::placed || !ref.item->start_allowed ||
+            awaits_answer(*ref.item, w, ctx.now.monotonic_ms)) {
+            continue;
+        }
+        if (current_view) {
             order_start(ctx, id, ref);
+        } else {
+            hold_starts(ctx);
         }
     }
 }
--- a/libs/scheduler/src/worker_departure.cpp
+++ b/libs/scheduler/src/worker_departure.cpp
@@ -1,3 +1,4 @@
+#include "start_permission.h"
 #include "worker_loss.h"
 #include "worker_sync.h"
 
@@ -69,6 +70,8 @@
             apply_unlisted(ctx, std::get<worker_unlisted>(change));
         }
     }
+    ctx.state.registry_confirmed_at_ms = read.confirmed_at_ms;
+    resume_starts(ctx);
 }
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -1,6 +1,7 @@
 #include "lease.h"
 #include "overbooking.h"
 #include "run_supervision.h"
+#include "start_permission.h"
 #include "worker_loss.h"
 #include "worker_pass.h"
 #include "worker_sync.h"
@@ -139,6 +140,7 @@
         if (ref.item->phase == task_phase::stopping) {
             stop_task(ctx, id, ref, "repeat");
         } else if (w.failed_polls == 0 && takes_starts(ctx.state, w) &&
+                   has_current_view(ctx.state, now) &&
                    ref.item->order_attempts < max_start_attempts && !is_overbooked(ctx.state, w)) {
             order_start(ctx, id, ref);
         }
--- a/libs/scheduler/tests/coordinator_fixture.h
+++ b/libs/scheduler/tests/coordinator_fixture.h
@@ -21,7 +21,13 @@
     /** Confirms each batch of records as soon as it is sent. Tests of write ordering disable it. */
     bool confirm_stores = true;
 
+    /** Whether the view of the registry is always current. Tests of late views disable it. */
+    bool registry_is_current = true;
+
     void send(const event& e) {
+        if (registry_is_current) {
+            state.registry_confirmed_at_ms = now.monotonic_ms;
+        }
         reduce(state, now, e, pending_effects);
         while (confirm_stores && take<store_records>()) {
             reduce(state, now, records_stored{}, pending_effects);
--- a/libs/scheduler/tests/simulated_cluster.cpp
+++ b/libs/scheduler/tests/simulated_cluster.cpp
@@ -47,6 +47,7 @@
         submitted_at_ms_[job->spec.id] = now_.monotonic_ms;
     }
     effects out;
+    state_.registry_confirmed_at_ms = now_.monotonic_ms;
     reduce(state_, now_, e, out);
     for (auto& call : out) {
         const bool is_store = std::holds_alternative<store_records>(call);
--- a/tests/fuzz/fuzz_decoders_test.cpp
+++ b/tests/fuzz/fuzz_decoders_test.cpp
@@ -99,6 +99,7 @@
     }
 
     void send(const scheduler::event& e) {
+        state.registry_confirmed_at_ms = now.monotonic_ms;
         reduce(state, now, e, out);
         while (state.batch_open) {
             reduce(state, now, scheduler::records_stored{}, out);
