--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -5,6 +5,7 @@
 #include "lifecycle.h"
 #include "scheduler/codec.h"
 #include "speed_learning.h"
+#include "start_permission.h"
 #include "start_planner.h"
 #include "worker_loss.h"
 #include "worker_sync.h"
@@ -309,7 +310,11 @@
     const plan_scope due = due_plan(state.pacing, state.plan_needed,
                                     !state.waiting_urgent_jobs.empty(), now.monotonic_ms);
     if (due != plan_scope::none && !state.batch_open) {
-        execute_plan(ctx, due);
+        if (has_current_view(state, now.monotonic_ms)) {
+            execute_plan(ctx, due);
+        } else if (!state.waiting_jobs.empty()) {
+            hold_starts(ctx);
+        }
     }
     flush(ctx);
 }
