--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -143,7 +143,7 @@
         request.first_offset = next_offset;
         request.wait_ms = failing ? 0 : options.wait_ms;
         request.max_kb = pacing.max_kb();
-        request.timeout_ms = pacing.timeout_ms();
+        request.timeout_ms = read_pacing::timeout_ms;
         store.read(request, guarded([sent_at = boottime_now()](
                                         impl& i, const platform::read_outcome& outcome) {
                        i.read_done(outcome, sent_at);
