--- a/tests/soak/entry_host.cpp
+++ b/tests/soak/entry_host.cpp
@@ -30,7 +30,8 @@
         << "\nreadiness_address: " << loopback(first_port + 1)
         << "\ninternal_port: " << first_port + 2 << "\nstore_address: " << loopback(first_port + 3)
         << "\nstore_partitions: 4\ncpu_share: " << cpu_share << "\nstop_grace_s: 6\n"
-        << "configuration_bound_ms: 2000\nmax_lease_ms: 6000\nstop_timeout_ms: 200\n"
+        << "configuration_bound_ms: 2000\ndrain_bound_ms: 2000\nmax_lease_ms: "
+           "6000\nstop_timeout_ms: 200\n"
         << "reclaim_ms: 2700\nremote_factor: 3\nstatus_retention_s: 120\n";
     return host;
 }
--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -18,6 +18,9 @@
 constexpr int crashes_to_limit_starts = 3;
 constexpr int max_starts_after_crashes = 2;
 
+/** `drainMs` of the platform, and `drain_bound_ms` of the entry hosts. */
+constexpr time_ms drain_bound_ms = 2000;
+
 std::string task_key(const std::string& job, int step, int index) {
     return job + "." + std::to_string(step) + "." + std::to_string(index);
 }
@@ -166,6 +169,20 @@
     }
 }
 
+void invariant_checker::drain_accepted(const std::string& worker) {
+    draining_since_.try_emplace(worker, monotonic_now());
+}
+
+void invariant_checker::prompt_start(const task_name& task, const std::string& worker) {
+    const auto draining = draining_since_.find(worker);
+    if (draining != draining_since_.end() && monotonic_now() > draining->second + drain_bound_ms) {
+        add_violation(task.job, "DRAIN",
+                      task.text + " starts on " + worker + " " +
+                          std::to_string(monotonic_now() - draining->second) +
+                          " ms after the store accepted that it drains");
+    }
+}
+
 void invariant_checker::end_acknowledged(const task_name& task, const std::string& reason) {
     const auto found = jobs.find(task.job);
     if (found == jobs.end()) {
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -65,6 +65,8 @@
  *   after three workers have crashed under it.
  * - UNASKED: only submitted jobs start, and none long after its cancellation was confirmed.
  * - REFUSED: a job that was refused on every attempt doesn't run.
+ * - DRAIN: nothing starts on a worker later than the drain bound after the store accepted that it
+ *   drains. Starts that the worker itself carries out late don't count.
  * - MIXED: a job is shown as completed only if all of its steps are complete.
  * - LOST: an accepted job stays known and reaches a final state; it is shown as failed or cancelled
  *   only with a cause.
@@ -81,6 +83,15 @@
      */
     void run_ended(const task_name& task, const std::string& reason);
 
+    /** The store accepted that a worker drains. */
+    void drain_accepted(const std::string& worker);
+
+    /** A draining worker has started again or left. */
+    void drain_over(const std::string& worker) { draining_since_.erase(worker); }
+
+    /** A worker begins a run on an order that it didn't hold up. Called after `run_started`. */
+    void prompt_start(const task_name& task, const std::string& worker);
+
     /** The leader acknowledged to the worker that the end of a run is stored. */
     void end_acknowledged(const task_name& task, const std::string& reason);
 
@@ -121,6 +132,8 @@
     std::map<std::string, int> crashes_;
     std::map<std::string, int> starts_after_crashes_;
     std::set<std::string> started_jobs_;
+    /** Monotonic time at which the store accepted that a worker drains. */
+    std::map<std::string, time_ms> draining_since_;
     time_ms last_crash_at_ = 0;
     std::size_t start_count_ = 0;
     std::vector<std::string> violations_;
--- a/tests/soak/invariant_checker_test.cpp
+++ b/tests/soak/invariant_checker_test.cpp
@@ -54,6 +54,21 @@
     CHECK(f.first_rule().empty());
 }
 
+TEST_CASE("a start long after the store accepted that its worker drains violates DRAIN") {
+    constexpr time_ms late_ms = 2100;
+    checker_fixture f;
+    f.checker.drain_accepted("w1");
+    f.checker.prompt_start(f.first, "w1");
+    CHECK(f.first_rule().empty());
+    const time_ms until = monotonic_now() + late_ms;
+    while (monotonic_now() < until) {
+    }
+    f.checker.prompt_start(f.first, "w2");
+    CHECK(f.first_rule().empty());
+    f.checker.prompt_start(f.first, "w1");
+    CHECK(f.first_rule() == "DRAIN");
+}
+
 TEST_CASE("two concurrent runs of a task violate TWICE") {
     checker_fixture f;
     f.checker.run_started(f.first, 1, "w1", small, capacity);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -233,8 +233,9 @@
         } else {
             constexpr time_ms notice_ms = 2000;
             inject(
-                at_ms, "worker drains and leaves", [w] { w->drain(notice_ms); },
-                notice_ms + duration_ms, [w] { w->rejoin(); });
+                at_ms, "worker drains and leaves",
+                [w, duration_ms] { w->drain(notice_ms, duration_ms / 2); }, notice_ms + duration_ms,
+                [w] { w->rejoin(); });
         }
     }
 
--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -18,6 +18,8 @@
 constexpr time_ms gang_timeout_ms = 3000;
 constexpr time_ms late_start_delay_ms = 2500;
 constexpr double slow_factor = 5;
+/** Time between two calls of `advance` beyond which the stand-ins are late. */
+constexpr time_ms usual_delay_ms = 100;
 constexpr std::size_t max_reported_ends = 500;
 
 http_response reply(int status, json body, time_ms clock_ms) {
@@ -92,11 +94,13 @@
     } else if (fault_ == worker_fault::late_starts) {
         context_.loop.after(late_start_delay_ms, [this, order, incarnation = started_wall_] {
             if (!has_left_ && down_until_ == 0 && incarnation == started_wall_) {
-                (void)start(order);
+                (void)start(order, true);
             }
         });
     } else {
-        const http_response response = start(order);
+        // The stand-ins share a process, which may be late itself.
+        const bool held_up = monotonic_now() - last_advance_at_ > usual_delay_ms;
+        const http_response response = start(order, held_up);
         if (!is_silent()) {
             server_->respond(token, response);
         }
@@ -125,7 +129,7 @@
     return order.value("deadlineMs", time_ms{0}) <= clock() ? "late" : "";
 }
 
-http_response soak_worker::start(const json& order) {
+http_response soak_worker::start(const json& order, bool held_up) {
     if (!accept_token(order)) {
         return reply(409, {{"reason", "fence"}}, clock());
     }
@@ -144,6 +148,9 @@
     const step_shape shape = decode_shape(order.value("spec", "[]")).steps.at(task.step);
     runs_.push_back({task, run, shape, 0, monotonic_now(), 0, false});
     context_.checker.run_started(task, run, id_, used(), enforced_capacity());
+    if (!held_up) {
+        context_.checker.prompt_start(task, id_);
+    }
     if (shape.gang) {
         ++context_.gangs[gang_key(task, run)];
     }
@@ -305,28 +312,6 @@
     }
 }
 
-void soak_worker::heartbeat() {
-    last_heartbeat_at_ = monotonic_now();
-    json entry = {{"service", "pool"},
-                  {"address", address_},
-                  {"zone", "z1"},
-                  {"version", "v1"},
-                  {"slots", 8},
-                  {"state", draining_ ? "draining" : "ready"},
-                  {"capacity",
-                   {{"cpu", capacity_.cpu_millis},
-                    {"memMb", capacity_.memory_mb},
-                    {"gpu", capacity_.accelerators}}},
-                  {"labels", {"a", rack_}},
-                  {"born", started_wall_},
-                  {"clockMs", clock()},
-                  {"sequence", ++sequence_}};
-    if (draining_) {
-        entry["remainingMs"] = std::max<time_ms>(0, leave_at_ - last_heartbeat_at_);
-    }
-    context_.store.put("keyed.servers", id_, entry.dump());
-}
-
 bool soak_worker::is_silent() const {
     return fault_ == worker_fault::unreachable || down_until_ != 0;
 }
@@ -381,19 +366,4 @@
     }
 }
 
-void soak_worker::drain(time_ms remaining_ms) {
-    draining_ = true;
-    leave_at_ = monotonic_now() + remaining_ms;
-    heartbeat();
-}
-
-void soak_worker::rejoin() {
-    if (!draining_) {
-        return;
-    }
-    draining_ = false;
-    has_left_ = false;
-    restart();
-}
-
 } // namespace fulmarworks::soak
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -52,8 +52,9 @@
     /** Starts a new incarnation with the same id, without the runs and the state of the old one. */
     void restart();
 
-    /** Reports the worker as draining; it leaves the registry after `remaining_ms`. */
-    void drain(time_ms remaining_ms);
+    /** Reports the worker as draining; it leaves the registry `linger_ms` after the announced
+     * `remaining_ms`. */
+    void drain(time_ms remaining_ms, time_ms linger_ms);
 
     /** Joins again as a new incarnation; does nothing unless the worker drains or has left. */
     void rejoin();
@@ -86,7 +87,8 @@
     };
 
     void handle(const http_request& request, std::uint64_t token);
-    [[nodiscard]] http_response start(const json& order);
+    /** `held_up` says whether the worker carries the order out late by itself. */
+    [[nodiscard]] http_response start(const json& order, bool held_up);
     [[nodiscard]] http_response stop(const json& order);
     void poll(const json& order, std::uint64_t token);
     [[nodiscard]] bool accept_token(const json& order);
@@ -124,6 +126,7 @@
     time_ms down_until_ = 0;
     bool has_left_ = false;
     bool draining_ = false;
+    time_ms announced_leave_at_ = 0;
     time_ms leave_at_ = 0;
     /** Wall time of the start; identifies the incarnation. */
     time_ms started_wall_ = 0;
