Starts: no host sends one whose time is over

A host that relays starts froze for 3.8 s with a batch in its socket; the worker crashed meanwhile and came back under its id; on waking, the host sent the starts, and the worker, which had forgotten its fencing token, its runs and the clock of the deadline, took them.

Cause: an order had no limit of its own on the hosts that pass it on; everything relied on what the worker remembers. A duration from the relay's receipt would not do, as a frozen process receives the batch when it wakes.

For a relay the time is on the relay's own boottime clock, of which the leader knows a lower bound from the relay's last answer; a batch for an unknown or another life of the process isn't sent, and the answer tells the clock, so that the leader sends it once more. Wall clocks take no part. The coordinator repeats a start that wasn't sent, under its current view, and doesn't count it as an attempt.

Not covered: the time between handing a request to the connection and its write in the same turn of the loop; and a worker that starts again within the sending limit.

--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -17,6 +17,8 @@
     int status = 0;
     std::string body;
     time_ms retry_after_ms = 0;
+    /** Whether the request was given up before any of it was sent; `status` is 0 then. */
+    bool not_sent = false;
 };
 
 struct http_header {
@@ -33,6 +35,9 @@
     std::string body;
     time_ms timeout_ms = 2000;
     std::vector<http_header> headers = {};
+    /** Boottime after which the request is given up unless it is on its way, for example because
+     * the connection opens late; 0 for no limit. */
+    time_ms send_until_ms = 0;
     /** Kind under which the traffic of the call is counted. */
     std::string_view kind = "other";
 };
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -6,9 +6,11 @@
 #include <cstdlib>
 #include <cstring>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -73,6 +75,10 @@
         std::string address;
         traffic_counts* traffic = nullptr;
         answer_handler on_answer;
+        time_ms send_until_ms = 0;
+        /** Null unless the request has a limit. */
+        evbuffer_cb_entry* send_watch = nullptr;
+        bool given_up = false;
     };
 
     event_loop& loop;
@@ -135,13 +141,44 @@
         });
     }
 
+    static evbuffer* output_of(evhttp_connection* connection) {
+        return bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    }
+
+    /** Runs when evhttp passes the request to its connection, which it does once that is open. */
+    static void passing_request(evbuffer*, const evbuffer_cb_info* change, void* argument) {
+        auto* call = static_cast<open_call*>(argument);
+        if (change->n_added > 0 && boottime_now() > call->send_until_ms) {
+            call->given_up = true;
+            // Nothing is written after this, and evhttp fails the request.
+            ::shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(call->connection)),
+                       SHUT_RDWR);
+        }
+    }
+
+    static void watch_sending(open_call& call, time_ms send_until_ms) {
+        call.send_until_ms = send_until_ms;
+        if (send_until_ms != 0) {
+            call.send_watch = evbuffer_add_cb(output_of(call.connection), passing_request, &call);
+        }
+    }
+
+    static void stop_watching(open_call& call) {
+        if (call.send_watch != nullptr) {
+            evbuffer_remove_cb_entry(output_of(call.connection), call.send_watch);
+            call.send_watch = nullptr;
+        }
+    }
+
     static void completed(evhttp_request* request, void* argument) {
         auto* call = static_cast<open_call*>(argument);
         impl* client = call->client;
         if (client == nullptr) {
             return;
         }
-        const http_answer answer = read_answer(request);
+        stop_watching(*call);
+        http_answer answer = read_answer(request);
+        answer.not_sent = call->given_up;
         client->open_calls.erase(call);
         call->traffic->bytes_received += answer.body.size() + header_bytes(request, true);
         auto& available = client->idle_connections[call->address];
@@ -156,6 +193,14 @@
     }
 
     void send(const http_call& call, answer_handler on_answer) {
+        if (call.send_until_ms != 0 && boottime_now() > call.send_until_ms) {
+            loop.after(0, [on_answer] {
+                http_answer late;
+                late.not_sent = true;
+                on_answer(late);
+            });
+            return;
+        }
         traffic_counts& counts = traffic.of(call.kind);
         evhttp_connection* connection = acquire_connection(call.address, counts);
         if (connection == nullptr) {
@@ -164,6 +209,7 @@
         }
         auto* open = new open_call{this, connection, call.address, &counts, std::move(on_answer)};
         open_calls.insert(open);
+        watch_sending(*open, call.send_until_ms);
         const timeval timeout = {
             static_cast<time_t>(call.timeout_ms / milliseconds_per_second),
             static_cast<suseconds_t>(call.timeout_ms % milliseconds_per_second * 1000)};
@@ -187,6 +233,7 @@
         if (evhttp_make_request(connection, request, to_evhttp_command(call.method),
                                 call.target.c_str()) != 0) {
             open_calls.erase(open);
+            stop_watching(*open);
             close_later(connection);
             loop.after(0, [handler = std::move(open->on_answer)] { handler({}); });
             delete open;
--- a/libs/node/src/start_batch.cpp
+++ b/libs/node/src/start_batch.cpp
@@ -14,7 +14,7 @@
 constexpr std::string_view accepted_name = "accepted";
 constexpr std::string_view payload_missing_name = "payload_missing";
 
-constexpr std::array<std::pair<std::string_view, order_failure>, 7> failure_names = {{
+constexpr std::array<std::pair<std::string_view, order_failure>, 8> failure_names = {{
     {"no_answer", order_failure::no_answer},
     {"fenced", order_failure::fenced},
     {"superseded", order_failure::superseded},
@@ -22,6 +22,7 @@
     {"no_capacity", order_failure::no_capacity},
     {"other_incarnation", order_failure::other_incarnation},
     {"rejected", order_failure::rejected},
+    {"not_sent", order_failure::not_sent},
 }};
 
 std::string_view name_of(const start_result& r) {
@@ -86,6 +87,8 @@
         starts.push_back(encode_start(s));
     }
     return json({{"token", batch.fencing_token},
+                 {"receiver", batch.receiver},
+                 {"send_until_ms", batch.send_until_ms},
                  {"payloads", batch.payloads},
                  {"starts", std::move(starts)}})
         .dump();
@@ -100,6 +103,9 @@
         const json& j = parsed.value();
         start_batch batch;
         batch.fencing_token = integer_from_json<std::uint64_t>(j.at("token"));
+        batch.receiver = j.value("receiver", std::string());
+        batch.send_until_ms =
+            j.contains("send_until_ms") ? integer_from_json<time_ms>(j.at("send_until_ms")) : 0;
         for (const auto& [job, payload] : j.at("payloads").items()) {
             batch.payloads[job] = payload.get<std::string>();
         }
@@ -115,12 +121,30 @@
     }
 }
 
-std::string encode_start_results(std::span<const start_result> results) {
+std::string encode_start_results(std::span<const start_result> results,
+                                 const clock_reading& clock) {
     json names = json::array();
     for (const auto& r : results) {
         names.push_back(name_of(r));
     }
-    return json({{"results", std::move(names)}}).dump();
+    return json({{"results", std::move(names)},
+                 {"process", clock.process},
+                 {"clock_ms", clock.clock_ms}})
+        .dump();
+}
+
+std::optional<clock_reading> decode_clock(std::string_view text) {
+    const auto parsed = parse_json(text);
+    if (!parsed) {
+        return std::nullopt;
+    }
+    try {
+        const json& j = parsed.value();
+        return clock_reading{j.at("process").get<std::string>(),
+                             integer_from_json<time_ms>(j.at("clock_ms"))};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
 }
 
 result<std::vector<start_result>> decode_start_results(std::string_view text,
--- a/libs/node/tests/start_relay_test.cpp
+++ b/libs/node/tests/start_relay_test.cpp
@@ -65,7 +65,14 @@
     metrics counters;
     start_relay relay{http, payloads, counters};
 
-    std::vector<start_result> send(const start_batch& batch) {
+    /** Sends a batch that the relay may send for long enough. */
+    std::vector<start_result> send(start_batch batch) {
+        batch.receiver = relay.clock().process;
+        batch.send_until_ms = relay.clock().clock_ms + wait_limit_ms;
+        return send_as_is(batch);
+    }
+
+    std::vector<start_result> send_as_is(const start_batch& batch) {
         http_request request;
         request.path = start_batch_path;
         request.body = encode_start_batch(batch);
@@ -85,7 +92,7 @@
     relay_fixture f;
     worker_standin worker(f.loop);
     f.payloads.add("a", "text");
-    const auto results = f.send({7, {}, {make_start("a", 2, worker.address)}});
+    const auto results = f.send({7, "", 0, {}, {make_start("a", 2, worker.address)}});
     CHECK(results[0].outcome == start_outcome::accepted);
     REQUIRE(worker.received.size() == 1);
     CHECK(worker.received[0].at("spec") == "text");
@@ -99,8 +106,12 @@
     relay_fixture f;
     worker_standin worker(f.loop);
     f.payloads.add("a", "text");
-    const auto results = f.send(
-        {7, {}, {make_start("unknown", 0, worker.address), make_start("a", 0, worker.address)}});
+    const auto results =
+        f.send({7,
+                "",
+                0,
+                {},
+                {make_start("unknown", 0, worker.address), make_start("a", 0, worker.address)}});
     CHECK(results[0].outcome == start_outcome::payload_missing);
     CHECK(results[1].outcome == start_outcome::accepted);
     CHECK(worker.received.size() == 1);
@@ -109,9 +120,9 @@
 TEST_CASE("payloads that come with a batch are used and kept") {
     relay_fixture f;
     worker_standin worker(f.loop);
-    CHECK(f.send({7, {{"a", "text"}}, {make_start("a", 0, worker.address)}})[0].outcome ==
+    CHECK(f.send({7, "", 0, {{"a", "text"}}, {make_start("a", 0, worker.address)}})[0].outcome ==
           start_outcome::accepted);
-    CHECK(f.send({7, {}, {make_start("a", 1, worker.address)}})[0].outcome ==
+    CHECK(f.send({7, "", 0, {}, {make_start("a", 1, worker.address)}})[0].outcome ==
           start_outcome::accepted);
 }
 
@@ -130,15 +141,67 @@
     };
     for (const auto& [reason, failure] : refusals) {
         worker.answer = json({{"clockMs", 1}, {"reason", reason}}).dump();
-        const auto results = f.send({7, {}, {make_start("a", 0, worker.address)}});
+        const auto results = f.send({7, "", 0, {}, {make_start("a", 0, worker.address)}});
         CHECK(results[0].outcome == start_outcome::refused);
         CHECK(results[0].failure == failure);
     }
     worker.silent = true;
-    const auto results = f.send({7, {}, {make_start("a", 0, worker.address)}});
+    const auto results = f.send({7, "", 0, {}, {make_start("a", 0, worker.address)}});
     CHECK(results[0].failure == order_failure::no_answer);
 }
 
+// A host that was frozen reads a batch that the leader gave up seconds ago. The worker may have
+// started again since, and have forgotten that the run has ended.
+TEST_CASE("a batch whose time is over is not sent, though the worker would take its starts") {
+    relay_fixture f;
+    worker_standin worker(f.loop);
+    f.payloads.add("a", "text");
+    start_batch batch{7,
+                      f.relay.clock().process,
+                      f.relay.clock().clock_ms - 1,
+                      {},
+                      {make_start("a", 0, worker.address)}};
+    auto results = f.send_as_is(batch);
+    CHECK(results[0].outcome == start_outcome::refused);
+    CHECK(results[0].failure == order_failure::not_sent);
+    SECTION("nor one for an earlier life of the process, whose clock says nothing") {
+        batch.receiver = "earlier";
+        batch.send_until_ms = f.relay.clock().clock_ms + wait_limit_ms;
+        results = f.send_as_is(batch);
+        CHECK(results[0].failure == order_failure::not_sent);
+    }
+    SECTION("nor one without a time, as of another release") {
+        results = f.send_as_is({7, "", 0, {}, {make_start("a", 0, worker.address)}});
+        CHECK(results[0].failure == order_failure::not_sent);
+    }
+    CHECK(worker.received.empty());
+}
+
+// A slow host may take long to open the connection.
+TEST_CASE("a start whose time ends while its connection opens is not sent") {
+    relay_fixture f;
+    worker_standin worker(f.loop);
+    f.payloads.add("a", "text");
+    const start_batch batch{7,
+                            f.relay.clock().process,
+                            f.relay.clock().clock_ms + 1,
+                            {},
+                            {make_start("a", 0, worker.address)}};
+    http_request request;
+    request.path = start_batch_path;
+    request.body = encode_start_batch(batch);
+    std::optional<http_response> response;
+    REQUIRE(f.relay.handle(request, [&](const http_response& r) { response = r; }));
+    const time_ms late_at = f.relay.clock().clock_ms + 5;
+    while (f.relay.clock().clock_ms < late_at) {
+    }
+    REQUIRE(f.loop.run_until([&] { return response.has_value(); }, wait_limit_ms));
+    const auto results = decode_start_results(response->body, 1);
+    REQUIRE(results);
+    CHECK(results.value()[0].failure == order_failure::not_sent);
+    CHECK(worker.received.empty());
+}
+
 TEST_CASE("malformed batches are rejected whole") {
     relay_fixture f;
     for (const std::string body :
--- a/libs/scheduler/include/scheduler/event.h
+++ b/libs/scheduler/include/scheduler/event.h
@@ -67,6 +67,7 @@
     no_capacity,       // the worker has too little free capacity
     other_incarnation, // a different incarnation of the worker answered
     rejected,          // refused without effect
+    not_sent,          // given up before it was sent, as its time was over
 };
 
 struct poll_failed {
--- /dev/null
+++ b/libs/scheduler/src/current_run.cpp
@@ -0,0 +1,20 @@
+#include "current_run.h"
+
+#include "speed_learning.h"
+
+namespace fulmarworks::scheduler {
+
+bool is_current(const task_ref& ref, const worker& w, std::uint32_t run) {
+    return ref && is_assigned(ref.item->phase) && ref.item->run == run &&
+           ref.item->where == w.report.incarnation;
+}
+
+void confirm_run(task& t, time_ms now_ms) {
+    begin_measurement(t, now_ms);
+    t.phase = task_phase::running;
+    t.order_attempts = 0;
+    t.confirmed_at_ms = now_ms;
+    t.progressed_at_ms = now_ms;
+}
+
+} // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -1,5 +1,6 @@
 #include "worker_sync.h"
 
+#include "current_run.h"
 #include "expected_run.h"
 #include "late_end.h"
 #include "lease.h"
@@ -16,11 +17,6 @@
 
 namespace {
 
-/**
- * A worker that refuses a start, for lack of capacity or health, gets no new tasks for this long.
- */
-constexpr time_ms refusal_quarantine_ms = 500;
-
 /**
  * Returns whether a run that was ordered from the previous incarnation may have started in the new
  * one.
@@ -84,11 +80,6 @@
     w.clock_reference_at_ms = now_ms;
 }
 
-bool is_current(const task_ref& ref, const worker& w, std::uint32_t run) {
-    return ref && is_assigned(ref.item->phase) && ref.item->run == run &&
-           ref.item->where == w.report.incarnation;
-}
-
 void apply_ends(reduce_context& ctx, worker& w, const std::vector<ended_run>& ends) {
     for (const auto& end : ends) {
         if (end.sequence <= w.applied_sequence) {
@@ -113,14 +104,6 @@
     }
 }
 
-void confirm_run(task& t, time_ms now_ms) {
-    begin_measurement(t, now_ms);
-    t.phase = task_phase::running;
-    t.order_attempts = 0;
-    t.confirmed_at_ms = now_ms;
-    t.progressed_at_ms = now_ms;
-}
-
 void update_progress(reduce_context& ctx, const active_run& run, const task_ref& ref) {
     task& t = *ref.item;
     if (t.percent != run.percent) {
@@ -349,50 +332,4 @@
     }
 }
 
-void apply_start_answer(reduce_context& ctx, const start_answered& answer) {
-    const task_ref ref = find_task(ctx.state, answer.task);
-    worker* w = find_worker(ctx.state, answer.worker);
-    if (w == nullptr || !is_current(ref, *w, answer.run) ||
-        ref.item->phase != task_phase::ordered) {
-        return;
-    }
-    task& t = *ref.item;
-    if (answer.accepted) {
-        confirm_run(t, ctx.now.monotonic_ms);
-        return;
-    }
-    const bool sole_order = t.order_attempts <= 1;
-    switch (answer.failure) {
-    case order_failure::fenced: ctx.out.emplace_back(leadership_lost{}); return;
-    case order_failure::expired: release_task(ctx, answer.task, ref, "start_expired"); return;
-    case order_failure::no_capacity:
-    case order_failure::rejected:
-        quarantine_worker(ctx, *w, refusal_quarantine_ms);
-        if (sole_order) {
-            release_task(ctx, answer.task, ref, "refused_by_worker");
-        } else {
-            stop_task(ctx, answer.task, ref, "refused_by_worker");
-        }
-        return;
-    case order_failure::superseded: stop_task(ctx, answer.task, ref, "superseded"); return;
-    case order_failure::no_answer:
-    case order_failure::other_incarnation: return; // the next poll shows the outcome
-    }
-}
-
-void apply_stop_answer(reduce_context& ctx, const stop_answered& answer) {
-    if (!answer.accepted) {
-        if (answer.failure == order_failure::fenced) {
-            ctx.out.emplace_back(leadership_lost{});
-        }
-        return;
-    }
-    const task_ref ref = find_task(ctx.state, answer.task);
-    const worker* w = find_worker(ctx.state, answer.worker);
-    if (w != nullptr && is_current(ref, *w, answer.run) &&
-        ref.item->phase == task_phase::stopping && ref.item->stop_confirmed_at_ms == 0) {
-        ref.item->stop_confirmed_at_ms = ctx.now.monotonic_ms;
-    }
-}
-
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/tests/start_permission_test.cpp
+++ b/libs/scheduler/tests/start_permission_test.cpp
@@ -99,6 +99,25 @@
     CHECK(latest < confirmed_at + drain_bound_ms);
 }
 
+// A leader that is short of processor time gives orders up before it has sent them.
+TEST_CASE("a start that wasn't sent is sent again, more often than one without an answer") {
+    followed_registry f;
+    f.registry_is_current = true;
+    f.send(job_submitted{f.small_job()});
+    auto order = f.take<send_start>();
+    constexpr int given_up = 8;
+    for (int i = 0; i < given_up; ++i) {
+        REQUIRE(order);
+        f.send(start_answered{"w1", order->task, order->run, false, order_failure::not_sent});
+        f.advance(500);
+        order = f.take<send_start>();
+    }
+    REQUIRE(order);
+    f.accept_start(*order);
+    CHECK(f.first_task("a").phase == task_phase::running);
+    CHECK(f.first_task("a").run == 1);
+}
+
 TEST_CASE("runs under a late view go on") {
     followed_registry f;
     const auto order = f.run_job(f.small_job());
