--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -14,6 +14,7 @@
 #include <event2/keyvalq_struct.h>
 #include <poll.h>
 #include <set>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -96,6 +97,11 @@
         time_ms timeout_at = 0;
         /** Time on `clock` from which it is given up in any case. */
         time_ms given_up_at = 0;
+        time_ms send_until_ms = 0;
+        /** Null unless the request has a limit. */
+        evbuffer_cb_entry* send_watch = nullptr;
+        /** Whether it was given up before any of it was sent. */
+        bool not_sent = false;
     };
 
     struct idle_connection {
@@ -140,6 +146,7 @@
         // `open_calls`.
         const auto open = open_calls;
         for (auto* call : open) {
+            stop_watching(*call);
             evhttp_connection_free(call->connection);
             delete call;
         }
@@ -180,13 +187,44 @@
         });
     }
 
+    static evbuffer* output_of(evhttp_connection* connection) {
+        return bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    }
+
+    /** Runs when evhttp passes the request to its connection, which it does once that is open. */
+    static void passing_request(evbuffer*, const evbuffer_cb_info* change, void* argument) {
+        auto* call = static_cast<open_call*>(argument);
+        if (change->n_added > 0 && boottime_now() > call->send_until_ms) {
+            call->not_sent = true;
+            // Nothing is written after this, and evhttp fails the request.
+            ::shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(call->connection)),
+                       SHUT_RDWR);
+        }
+    }
+
+    static void watch_sending(open_call& call, time_ms send_until_ms) {
+        call.send_until_ms = send_until_ms;
+        if (send_until_ms != 0) {
+            call.send_watch = evbuffer_add_cb(output_of(call.connection), passing_request, &call);
+        }
+    }
+
+    static void stop_watching(open_call& call) {
+        if (call.send_watch != nullptr) {
+            evbuffer_remove_cb_entry(output_of(call.connection), call.send_watch);
+            call.send_watch = nullptr;
+        }
+    }
+
     static void completed(evhttp_request* request, void* argument) {
         auto* call = static_cast<open_call*>(argument);
         impl* client = call->client;
         if (client == nullptr) {
             return;
         }
-        const http_answer answer = read_answer(request);
+        stop_watching(*call);
+        http_answer answer = read_answer(request);
+        answer.not_sent = call->not_sent;
         client->forget(call);
         call->traffic->bytes_received += answer.body.size() + header_bytes(request, true);
         auto& available = client->idle_connections[call->address];
@@ -222,6 +260,7 @@
             }
             forget(call);
             given_up.push_back(std::move(call->on_answer));
+            stop_watching(*call);
             call->client = nullptr; // freeing the connection may run `completed`
             evhttp_connection_free(call->connection);
             delete call;
@@ -254,6 +293,14 @@
     }
 
     void send(const http_call& call, answer_handler on_answer) {
+        if (call.send_until_ms != 0 && boottime_now() > call.send_until_ms) {
+            loop.after(0, [on_answer] {
+                http_answer late;
+                late.not_sent = true;
+                on_answer(late);
+            });
+            return;
+        }
         traffic_counts& counts = traffic.of(call.kind);
         evhttp_connection* connection = acquire_connection(call.address, counts);
         if (connection == nullptr) {
@@ -270,6 +317,7 @@
                                    timeout_at + call.timeout_ms};
         open_calls.insert(open);
         timeouts.emplace(timeout_at, open);
+        watch_sending(*open, call.send_until_ms);
         evhttp_request* request = evhttp_request_new(completed, open);
         evkeyvalq* headers = evhttp_request_get_output_headers(request);
         const bool has_host_header = std::any_of(call.headers.begin(), call.headers.end(),
@@ -289,6 +337,7 @@
         if (evhttp_make_request(connection, request, to_evhttp_command(call.method),
                                 call.target.c_str()) != 0) {
             forget(open);
+            stop_watching(*open);
             close_later(connection);
             loop.after(0, [handler = std::move(open->on_answer)] { handler({}); });
             delete open;
--- a/libs/scheduler/src/run_lists.cpp
+++ b/libs/scheduler/src/run_lists.cpp
@@ -1,5 +1,6 @@
 #include "run_lists.h"
 
+#include "current_run.h"
 #include "expected_run.h"
 #include "late_end.h"
 #include "speed_learning.h"
@@ -96,14 +97,6 @@
 
 } // namespace
 
-void confirm_run(task& t, time_ms now_ms) {
-    begin_measurement(t, now_ms);
-    t.phase = task_phase::running;
-    t.order_attempts = 0;
-    t.confirmed_at_ms = now_ms;
-    t.progressed_at_ms = now_ms;
-}
-
 void apply_ends(reduce_context& ctx, worker& w, const std::vector<ended_run>& ends) {
     for (const auto& end : ends) {
         if (end.sequence <= w.applied_sequence) {
@@ -129,8 +122,9 @@
 
 void reconcile_runs(reduce_context& ctx, worker& w, const poll_answered& answer) {
     std::set<task_id> listed;
+    const bool all_active_known = answer.status.unreadable_rows == 0;
     const auto removed = std::erase_if(w.orphaned_runs, [&](const auto& s) {
-        return std::none_of(
+        return all_active_known && std::none_of(
             answer.status.active.begin(), answer.status.active.end(),
             [&](const auto& run) { return run.task == s.task && run.run == s.run; });
     });
--- a/libs/scheduler/src/run_lists.h
+++ b/libs/scheduler/src/run_lists.h
@@ -4,9 +4,6 @@
 
 namespace fulmarworks::scheduler {
 
-/** Applies that the worker of a task confirmed its run. */
-void confirm_run(task& t, time_ms now_ms);
-
 /** Applies the ended runs that a worker lists and schedules their confirmation. */
 void apply_ends(reduce_context& ctx, worker& w, const std::vector<ended_run>& ends);
 
