Leader: steps aside once for an abler host if it can't keep up

What callers saw: after a fault of the store a host with 0.12 of a core led although 15 hosts with 0.5 were up, and was late by 0.2 to 1.4 s all the time.

The rule by share of a core only delays the first acquisition; nothing corrected it.

Now a leader whose loop was late by 200 ms and more for half of a window of 3 s releases its lease if a host has 1.5 times its share of a core, and leaves it to others for 5 s. Once in 30 s, whoever leads: the time is carried in the lease's records, so the lease isn't handed around. Records without the field are read as before.

The renewal of the lease is a prompt timer now.

--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -10,6 +10,7 @@
 #include "platform/documents.h"
 #include "platform/headers.h"
 #include "start_relay.h"
+#include "sustained_delay.h"
 #include "topic_follower.h"
 #include "traffic_report.h"
 #include "worker_speed_metrics.h"
@@ -78,6 +79,8 @@
     std::unique_ptr<http_server> internal_server;
 
     loop_monitor monitor{tick_ms};
+    /** Delays of the loop in this host's term. */
+    sustained_delay term_delay;
     bool store_reachable = true;
     /** Whether calls were refused for want of a confirmed configuration at the last tick. */
     bool configuration_expired = false;
@@ -155,6 +158,7 @@
         follow_members();
         register_member();
         run_after(loop, tick_ms, [](impl& i) { i.tick(); });
+        loop.every_promptly(tick_ms, guarded([](impl& i) { i.send_due_lease_write(); }));
         run_after(loop, traffic_log_interval_ms, [](impl& i) { i.log_traffic(); });
     }
 
@@ -335,6 +339,7 @@
                                [this](time_ms at) { return may_act(elector->state(), at); }},
                 elector->state().epoch, elector->state().earlier_orders_until_ms, requests(),
                 [this] { resign(elector->state()); });
+            term_delay.reset(boottime_now());
         } else if (!is_leader(elector->state()) && term) {
             const leadership_state& lease = elector->state();
             log.write(
@@ -355,6 +360,9 @@
                                           " cpu_ms=" + std::to_string(last.cpu_ms) +
                                           " leader=" + std::to_string(term ? 1 : 0));
         }
+        if (term && term_delay.add(boottime_now(), last.delay_ms)) {
+            step_aside_for_abler_host();
+        }
         const bool expired = configuration && !valid_configuration();
         if (expired != configuration_expired) {
             configuration_expired = expired;
@@ -364,10 +372,26 @@
         }
     }
 
-    void tick() {
-        observe_delays();
+    void step_aside_for_abler_host() {
+        const time_ms now = boottime_now();
+        const double largest = peer_hosts->largest_cpu_share();
+        if (!may_step_aside(elector->state(), now, settings.cpu_share, largest)) {
+            return;
+        }
+        log.write("leader_steps_aside",
+                  "cpu_share=" + std::to_string(settings.cpu_share) +
+                      " largest_cpu_share=" + std::to_string(largest) +
+                      " loop_delay_ms=" + std::to_string(monitor.recent_delay_ms()));
+        step_aside(elector->state(), now);
+    }
+
+    void send_due_lease_write() {
         elector->send_due_write(
             acquisition_delay(settings.cpu_share, peer_hosts->largest_cpu_share()));
+    }
+
+    void tick() {
+        observe_delays();
         update_term();
         if (store.unavailable()) {
             peer_hosts->refresh_view();
--- a/libs/node/src/leadership.cpp
+++ b/libs/node/src/leadership.cpp
@@ -29,11 +29,15 @@
     state.write_sent_at_ms = now_ms;
     ++state.write_count;
     state.release_sent = state.release_sent || released;
-    state.pending_write = lease_record{
-        state.name,           state.address,
-        state.incarnation,    state.epoch,
-        state.write_count,    released,
-        next_lease_ms(state), std::max<time_ms>(state.earlier_orders_until_ms - now_ms, 0)};
+    state.pending_write = lease_record{state.name,
+                                       state.address,
+                                       state.incarnation,
+                                       state.epoch,
+                                       state.write_count,
+                                       released,
+                                       next_lease_ms(state),
+                                       std::max<time_ms>(state.earlier_orders_until_ms - now_ms, 0),
+                                       std::max<time_ms>(state.kept_until_ms - now_ms, 0)};
     // The other hosts count with this record as soon as they read it, even if its answer is lost.
     state.valid_until_ms =
         std::min(state.valid_until_ms, now_ms + state.pending_write->lease_ms - lease_margin_ms);
@@ -102,7 +106,8 @@
                  {"write", r.write_number},
                  {"released", r.released},
                  {"lease_ms", r.lease_ms},
-                 {"earlier_orders_ms", r.earlier_orders_ms}})
+                 {"earlier_orders_ms", r.earlier_orders_ms},
+                 {"kept_ms", r.kept_ms}})
         .dump();
 }
 
@@ -125,10 +130,12 @@
         record.earlier_orders_ms = j.contains("earlier_orders_ms")
                                        ? integer_from_json<time_ms>(j.at("earlier_orders_ms"))
                                        : max_leader_lease_ms + leader_grace_ms;
+        record.kept_ms = j.contains("kept_ms") ? integer_from_json<time_ms>(j.at("kept_ms")) : 0;
         const auto plausible = [](time_ms duration) {
             return duration >= 0 && duration <= max_plausible_lease_ms;
         };
-        if (!plausible(record.lease_ms) || !plausible(record.earlier_orders_ms)) {
+        if (!plausible(record.lease_ms) || !plausible(record.earlier_orders_ms) ||
+            !plausible(record.kept_ms)) {
             return error{error_kind::malformed_data, "lease record: a duration is out of range",
                          "run the same release on all entry hosts"};
         }
@@ -168,6 +175,7 @@
     state.newest_offset = offset;
     state.newest_read_at_ms = now_ms;
     state.log_end = std::max(state.log_end, offset + 1);
+    state.kept_until_ms = std::max(state.kept_until_ms, now_ms + record.kept_ms);
     if (!is_own_record(state, record)) {
         resign(state);
         return;
@@ -209,7 +217,7 @@
     if (!state.loaded || state.pending_write) {
         return std::nullopt;
     }
-    if (state.releasing) {
+    if (state.releasing || state.stepping_aside) {
         return is_leader(state) ? std::optional(begin_write(state, now_ms, true)) : std::nullopt;
     }
     if (is_leader(state)) {
@@ -222,13 +230,15 @@
         }
         return begin_write(state, now_ms, false);
     }
-    if (state.readable_since_ms == 0 || !is_vacant(state, now_ms, delay_ms)) {
+    if (state.readable_since_ms == 0 || now_ms < state.left_to_others_until_ms ||
+        !is_vacant(state, now_ms, delay_ms)) {
         return std::nullopt;
     }
     if (now_ms - state.write_sent_at_ms < delay_ms + leader_renewal_interval_ms / 4) {
         return std::nullopt;
     }
     state.earlier_orders_until_ms = orders_until_ms(state);
+    state.release_sent = false; // of an earlier term, in which this host stepped aside
     return begin_write(state, now_ms, false);
 }
 
@@ -244,7 +254,20 @@
     state.releasing = true;
 }
 
+bool may_step_aside(const leadership_state& state, time_ms now_ms, double cpu_share,
+                    double largest_cpu_share) {
+    return is_leader(state) && !state.releasing && !state.stepping_aside &&
+           now_ms >= state.kept_until_ms && largest_cpu_share >= abler_share_multiple * cpu_share;
+}
+
+void step_aside(leadership_state& state, time_ms now_ms) {
+    state.stepping_aside = true;
+    state.kept_until_ms = now_ms + step_aside_interval_ms;
+    state.left_to_others_until_ms = now_ms + left_to_others_ms;
+}
+
 void resign(leadership_state& state) {
+    state.stepping_aside = false;
     state.epoch = 0;
     state.valid_until_ms = 0;
 }
--- a/libs/node/src/leadership.h
+++ b/libs/node/src/leadership.h
@@ -23,6 +23,13 @@
  * already runs. Together with the lease of a worker it covers a store outage of 9 s without losing
  * work. */
 inline constexpr time_ms leader_grace_ms = 5000;
+/** Time after a leader stepped aside for which no leader does so, whoever leads: several overloaded
+ * hosts must not hand the lease around. */
+inline constexpr time_ms step_aside_interval_ms = 30'000;
+/** Time for which a host that stepped aside leaves the lease to others, if nobody takes it. */
+inline constexpr time_ms left_to_others_ms = 5000;
+/** A leader steps aside only for hosts with at least this multiple of its share of a core. */
+inline constexpr double abler_share_multiple = 1.5;
 
 /** One record of the leadership log. */
 struct lease_record {
@@ -42,6 +49,8 @@
     /** Time, counted from when the record was sent, for which earlier leaders may still give
      * orders. */
     time_ms earlier_orders_ms = 0;
+    /** Time, counted from when the record was sent, for which no leader steps aside. */
+    time_ms kept_ms = 0;
 };
 
 [[nodiscard]] std::string encode_lease(const lease_record& record);
@@ -84,6 +93,13 @@
     /** Whether this host releases its lease and no longer acquires it. */
     bool releasing = false;
 
+    /** Whether this host releases its lease to an abler one. */
+    bool stepping_aside = false;
+    /** Time until which no leader steps aside, by all records so far. */
+    time_ms kept_until_ms = 0;
+    /** Time until which this host, having stepped aside, doesn't acquire the lease. */
+    time_ms left_to_others_until_ms = 0;
+
     /** Whether this host has sent the release of its lease, after which it gives no orders. */
     bool release_sent = false;
 
@@ -143,6 +159,14 @@
 /** Makes the next write release the lease; this host doesn't acquire it again. */
 void request_release(leadership_state& state);
 
+/** Returns whether the leader would do well to step aside if it can't keep up. */
+[[nodiscard]] bool may_step_aside(const leadership_state& state, time_ms now_ms, double cpu_share,
+                                  double largest_cpu_share);
+
+/** Makes the next write release the lease, so that abler hosts acquire it. Precondition:
+ * `may_step_aside`. */
+void step_aside(leadership_state& state, time_ms now_ms);
+
 /** Ends this host's leadership without a write, for example once another host leads. */
 void resign(leadership_state& state);
 
