HTTP client: an answer that keeps arriving isn't given up, and a lost one not waited for too long

Callers would have seen hosts on small links read nothing for ever: evhttp's timeouts counted from the last byte, the client's own ones from the start of the call, so a read of 320 KB at 2 Mbit/s (1.3 s) failed at 0.7 s and was begun again. And as a turn of the loop counts 50 ms at most, a process with turns of 0.4 s waited eight times as long for an answer that was lost, longer than the leases of workers last.

Change: a call is extended while its answer arrives, up to eight times its timeout; one without input ends after three times its timeout on the monotonic clock, at the second check in a row.

--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -33,9 +33,10 @@
     /** Path with query. */
     std::string target;
     std::string body;
-    /** Time after which the call is given up. It counts only while the loop runs: what has arrived
-     * while the process was stalled is read first, and a call that is being answered at its timeout
-     * gets up to twice the time. */
+    /** Time without input after which the call is given up. It counts only while the loop runs:
+     * what has arrived while the process was stalled is read first. A call whose answer keeps
+     * arriving gets up to eight times this time; one that is silent in a process that is rarely run
+     * ends after about three times this time on the monotonic clock. */
     time_ms timeout_ms = 2000;
     std::vector<http_header> headers = {};
     /** Boottime after which the request is given up unless it is on its way, for example because
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.h"
 
 #include "attentive_clock.h"
+#include "evhttp_messages.h"
 #include "http/http_server.h"
 #include "loop_priority.h"
 
@@ -31,59 +32,16 @@
 constexpr time_ms idle_check_interval_ms = 500;
 /** Time after which an idle connection is closed. */
 constexpr time_ms max_idle_ms = 2000;
+/** Multiple of its timeout up to which a call whose answer keeps arriving is waited for. */
+constexpr time_ms max_timeout_multiple = 8;
+/** Multiple of its timeout, by the monotonic clock, after which a call counts as overdue in a
+ * process that is rarely run. */
+constexpr time_ms overdue_multiple = 3;
+/** Interval between checks for overdue calls. */
+constexpr time_ms overdue_check_interval_ms = 200;
 /** Timeout of evhttp, which never ends a call: a call's own timeout is checked first. */
 constexpr timeval unused_timeout = {24L * 60 * 60, 0};
 
-evhttp_cmd_type to_evhttp_command(const std::string& method) {
-    if (method == "POST") {
-        return EVHTTP_REQ_POST;
-    }
-    if (method == "DELETE") {
-        return EVHTTP_REQ_DELETE;
-    }
-    return method == "PUT" ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
-}
-
-http_answer read_answer(evhttp_request* request) {
-    http_answer answer;
-    if (request == nullptr) {
-        return answer;
-    }
-    answer.status = evhttp_request_get_response_code(request);
-    evbuffer* input = evhttp_request_get_input_buffer(request);
-    answer.body.resize(evbuffer_get_length(input));
-    evbuffer_copyout(input, answer.body.data(), answer.body.size());
-    const char* retry_after =
-        evhttp_find_header(evhttp_request_get_input_headers(request), "Retry-After");
-    if (retry_after != nullptr) {
-        answer.retry_after_ms = std::atol(retry_after) * milliseconds_per_second;
-    }
-    return answer;
-}
-
-/** Returns the size of a message's headers and first line in bytes. The request target is not
- * included; the rest of the first line counts as 20 bytes. */
-std::size_t header_bytes(evhttp_request* request, bool received) {
-    constexpr std::size_t first_line_bytes = 20;
-    constexpr std::size_t separator_bytes = 4;
-    if (request == nullptr) {
-        return 0;
-    }
-    const evkeyvalq* headers = received ? evhttp_request_get_input_headers(request)
-                                        : evhttp_request_get_output_headers(request);
-    std::size_t total = first_line_bytes;
-    for (const evkeyval* h = headers->tqh_first; h != nullptr; h = h->next.tqe_next) {
-        total += std::strlen(h->key) + std::strlen(h->value) + separator_bytes;
-    }
-    return total;
-}
-
-/** Returns whether the system has data from the server, or its end, that evhttp hasn't read. */
-bool has_unread_input(evhttp_connection* connection) {
-    pollfd state = {bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), POLLIN, 0};
-    return state.fd >= 0 && poll(&state, 1, 0) > 0;
-}
-
 } // namespace
 
 struct http_client::impl {
@@ -93,10 +51,18 @@
         std::string address;
         traffic_counts* traffic = nullptr;
         answer_handler on_answer;
-        /** Time on `clock` from which the call is given up unless it has unread input. */
+        evhttp_request* request = nullptr;
+        time_ms timeout_ms = 0;
+        /** Time on `clock` from which the call is given up unless more input has arrived. */
         time_ms timeout_at = 0;
         /** Time on `clock` from which it is given up in any case. */
         time_ms given_up_at = 0;
+        /** Monotonic time at which the call was made. */
+        time_ms made_at = 0;
+        /** Bytes of the answer that had been read when `timeout_at` was set. */
+        std::size_t bytes_read = 0;
+        /** Whether it was overdue by the monotonic clock at the last check. */
+        bool overdue = false;
         time_ms send_until_ms = 0;
         /** Null unless the request has a limit. */
         evbuffer_cb_entry* send_watch = nullptr;
@@ -119,6 +85,7 @@
     traffic_meter traffic;
     attentive_clock clock{monotonic_now()};
     time_ms idle_checked_at = 0;
+    time_ms overdue_checked_at = 0;
     event* timeout_check = nullptr;
     /** Tells a loop over handlers that one of them destroyed the client. */
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -243,6 +210,58 @@
         timeouts.erase({call->timeout_at, call});
     }
 
+    /** Extends a call whose answer is arriving; returns whether it was extended. */
+    bool extend(open_call* call, time_ms now) {
+        const std::size_t read = bytes_read(call->connection, call->request);
+        if (now >= call->given_up_at ||
+            (read <= call->bytes_read && !has_unread_input(call->connection))) {
+            return false;
+        }
+        call->bytes_read = read;
+        timeouts.erase({call->timeout_at, call});
+        call->timeout_at = std::min(now + call->timeout_ms, call->given_up_at);
+        timeouts.emplace(call->timeout_at, call);
+        return true;
+    }
+
+    /** Returns the calls that were overdue at this and the last check, without input in between.
+     * A process that is rarely run would otherwise wait for lost answers many times as long. */
+    std::vector<open_call*> find_overdue(time_ms monotonic_ms) {
+        std::vector<open_call*> found;
+        for (open_call* call : open_calls) {
+            const bool overdue =
+                monotonic_ms - call->made_at >= overdue_multiple * call->timeout_ms &&
+                bytes_read(call->connection, call->request) <= call->bytes_read &&
+                !has_unread_input(call->connection);
+            if (overdue && call->overdue) {
+                found.push_back(call);
+            }
+            call->overdue = overdue;
+        }
+        return found;
+    }
+
+    /** Returns the calls that have reached their timeout. */
+    std::vector<open_call*> find_timed_out(time_ms now) {
+        std::vector<open_call*> due;
+        for (auto next = timeouts.begin(); next != timeouts.end() && next->first <= now; ++next) {
+            due.push_back(next->second);
+        }
+        std::erase_if(due, [&](open_call* call) { return extend(call, now); });
+        return due;
+    }
+
+    /** Closes the call's connection and returns its handler. */
+    answer_handler give_up(open_call* call) {
+        forget(call);
+        auto handler = std::move(call->on_answer);
+        stop_watching(*call);
+        call->client = nullptr; // freeing the connection may run `completed`
+        evhttp_connection_free(call->connection);
+        delete call;
+        return handler;
+    }
+
     /**
      * Gives up the calls that have reached their timeout.
      *
@@ -250,23 +269,20 @@
      * both are due, and libevent drops the readiness of a descriptor whose timer has run out.
      */
     void check_timeouts() {
-        clock.advance(monotonic_now());
-        const time_ms now = clock.now();
+        const time_ms monotonic = monotonic_now();
+        clock.advance(monotonic);
         std::vector<answer_handler> given_up;
-        for (auto next = timeouts.begin(); next != timeouts.end() && next->first <= now;) {
-            open_call* call = (next++)->second;
-            if (now < call->given_up_at && has_unread_input(call->connection)) {
-                continue;
+        for (open_call* call : find_timed_out(clock.now())) {
+            given_up.push_back(give_up(call));
+        }
+        if (monotonic - overdue_checked_at >= overdue_check_interval_ms) {
+            overdue_checked_at = monotonic;
+            for (open_call* call : find_overdue(monotonic)) {
+                given_up.push_back(give_up(call));
             }
-            forget(call);
-            given_up.push_back(std::move(call->on_answer));
-            stop_watching(*call);
-            call->client = nullptr; // freeing the connection may run `completed`
-            evhttp_connection_free(call->connection);
-            delete call;
         }
-        if (now - idle_checked_at >= idle_check_interval_ms) {
-            idle_checked_at = now;
+        if (monotonic - idle_checked_at >= idle_check_interval_ms) {
+            idle_checked_at = monotonic;
             close_idle_connections();
         }
         const std::weak_ptr<bool> self_alive = alive;
@@ -308,17 +324,21 @@
             return;
         }
         const time_ms timeout_at = clock.at(monotonic_now()) + call.timeout_ms;
-        auto* open = new open_call{this,
-                                   connection,
-                                   call.address,
-                                   &counts,
-                                   std::move(on_answer),
-                                   timeout_at,
-                                   timeout_at + call.timeout_ms};
+        auto* open = new open_call{};
+        open->client = this;
+        open->connection = connection;
+        open->address = call.address;
+        open->traffic = &counts;
+        open->on_answer = std::move(on_answer);
+        open->timeout_ms = call.timeout_ms;
+        open->timeout_at = timeout_at;
+        open->given_up_at = timeout_at + (max_timeout_multiple - 1) * call.timeout_ms;
+        open->made_at = monotonic_now();
         open_calls.insert(open);
         timeouts.emplace(timeout_at, open);
         watch_sending(*open, call.send_until_ms);
         evhttp_request* request = evhttp_request_new(completed, open);
+        open->request = request;
         evkeyvalq* headers = evhttp_request_get_output_headers(request);
         const bool has_host_header = std::any_of(call.headers.begin(), call.headers.end(),
                                                  [](const auto& h) { return h.name == "Host"; });
--- a/libs/http/tests/stalled_client_test.cpp
+++ b/libs/http/tests/stalled_client_test.cpp
@@ -80,6 +80,44 @@
     CHECK(loop.run_until([&] { return server.open_connections() == 0; }, limit_ms));
 }
 
+// Guards against large answers on small links, which were given up in the middle and asked for
+// again for ever.
+TEST_CASE("a call whose answer keeps arriving isn't given up at its timeout") {
+    event_loop loop;
+    raw_server server;
+    http_client client(loop);
+    call_results results;
+    send_calls(client, server.address(), 1, results);
+    REQUIRE(loop.run_until([&] { return server.receive_requests() == 1; }, limit_ms));
+    constexpr int parts = 6;
+    server.send_to_all("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n");
+    for (int i = 0; i < parts; ++i) {
+        loop.run_until([] { return false; }, timeout_ms / 2);
+        REQUIRE(results.total() == 0);
+        server.send_to_all("x");
+    }
+    REQUIRE(loop.run_until([&] { return results.total() == 1; }, limit_ms));
+    CHECK(results.answered == 1);
+}
+
+// Guards against a process that is run for moments only and waits for lost answers for many times
+// their timeouts, so that the leases of workers run out meanwhile.
+TEST_CASE("a call that isn't answered ends soon although the client is rarely run") {
+    event_loop loop;
+    raw_server server;
+    http_client client(loop);
+    call_results results;
+    const time_ms begin = monotonic_now();
+    send_calls(client, server.address(), 3, results);
+    REQUIRE(loop.run_until([&] { return server.receive_requests() == 3; }, limit_ms));
+    const time_ms end = begin + 5 * timeout_ms;
+    while (results.total() < 3 && monotonic_now() < end) {
+        stall(timeout_ms / 2);
+        loop.run_until([&] { return results.total() == 3; }, 1);
+    }
+    CHECK(results.failed == 3);
+}
+
 // A server that sends part of an answer and nothing more is as silent as one that sends none.
 TEST_CASE("a call whose answer stays incomplete ends at its timeout") {
     event_loop loop;
