Scheduler: a leader's own delay isn't taken for the silence of its workers

Cause: after a delay the loop runs timers, and the time-outs of calls, before it has read the answers that were waiting. A time-out during the leader's own delay counted as silence; the lease had run out by then, and the next tick released the runs. A new leader even gave up runs while the answer to its first poll was due.

Now each event says how late the leader handles it (the delay of its tick). A poll that was open while the leader was late and wasn't answered counts for nothing: the worker is asked again at once, and its lease is renewed. Runs are given up only after a poll that was sent since the last delay has failed. After three polls in a row that don't count, failures count whatever the delay, so a leader that is always late gives up lost workers too. The leader's own lease check is unchanged.

Weighed: delays between events instead of a delay with each event; a tick is the only one that is due at a known time.

--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -33,10 +33,6 @@
     return j.started ? scheduler::job_state::running : scheduler::job_state::queued;
 }
 
-scheduler::instant now() {
-    return {boottime_now(), wall_now()};
-}
-
 } // namespace
 
 struct leader::impl : callback_owner<impl> {
@@ -49,6 +45,8 @@
 
     bool deposed = false;
     time_ms started_at = 0;
+    /** Monotonic time at which the next tick is due. */
+    time_ms tick_due_at = 0;
     /** Whether the view of the workers was late at the last tick. */
     bool view_late = false;
 
@@ -85,9 +83,20 @@
             [this] { loader->load_progress(); }, [this] { handle(scheduler::records_stored{}); },
             [this] { depose("store_fenced"); }});
         follow_registry();
+        schedule_tick();
+    }
+
+    void schedule_tick() {
+        tick_due_at = boottime_now() + tick_ms;
         run_after(context.loop, tick_ms, [](impl& i) { i.tick(); });
     }
 
+    /** Returns the time with the delay of the tick that is due. */
+    [[nodiscard]] scheduler::instant now() const {
+        const time_ms at = boottime_now();
+        return {at, wall_now(), std::max<time_ms>(0, at - tick_due_at)};
+    }
+
     void depose(const char* reason) {
         if (deposed) {
             return;
@@ -235,7 +244,7 @@
             observe_view();
             handle(scheduler::tick{});
         }
-        run_after(context.loop, tick_ms, [](impl& i) { i.tick(); });
+        schedule_tick();
     }
 
     void handle(const scheduler::event& e) {
--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -23,6 +23,9 @@
     time_ms monotonic_ms = 0;
     /** Wall clock, which may jump; used only for the due times of occurrences. */
     time_ms wall_ms = 0;
+    /** How late the leader handles what was due before, `tick` events first of all. Answers to its
+     * calls may have been waiting for as long. */
+    time_ms delay_ms = 0;
 };
 
 /** Actions that are executed only after the state that they depend on is stored. */
@@ -103,6 +106,8 @@
     /** Tasks whose silent workers an earlier leader had not resolved, and when that was read. */
     std::vector<task_id> inherited_losses;
     time_ms recovered_at_ms = 0;
+    /** Monotonic time at which the leader last handled an event late. */
+    time_ms handled_late_at_ms = 0;
     worker_pass maintenance;
     worker_pass inspection;
 };
--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -97,6 +97,11 @@
     bool verified = false;
     bool poll_outstanding = false;
     std::uint32_t failed_polls = 0;
+    /** Monotonic time at which the latest of `failed_polls` was sent. */
+    time_ms failed_poll_sent_at_ms = 0;
+    /** Polls since the last answer that were not answered and don't count as failed, as the leader
+     * was late. */
+    std::uint32_t unheard_polls = 0;
     /** Monotonic time of the first of `failed_polls`. */
     time_ms unreachable_at_ms = 0;
     time_ms poll_sent_at_ms = 0;
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -26,6 +26,11 @@
  */
 constexpr time_ms purge_interval_ms = 2000;
 constexpr std::size_t max_jobs_per_purge = 200;
+/**
+ * Delay from which events count as handled late: several intervals of the leader's ticks, and less
+ * than the time for which a call that a peer answers at once stays open.
+ */
+constexpr time_ms min_late_handling_ms = 200;
 /** Interval between checks for due occurrences and ended jobs. */
 constexpr time_ms job_check_interval_ms = 100;
 
@@ -305,6 +310,9 @@
 
 void reduce(coordinator_state& state, instant now, const event& e, effects& out) {
     reduce_context ctx{state, now, out};
+    if (now.delay_ms >= min_late_handling_ms) {
+        state.handled_late_at_ms = now.monotonic_ms;
+    }
     std::visit(event_handler{ctx}, e);
     if (state.plan_needed && !state.batch_open) {
         execute_plan(ctx);
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -85,7 +85,7 @@
     }
     w.poll_outstanding = true;
     w.poll_sent_at_ms = now;
-    w.poll_wait_ms = poll_wait(ctx, w);
+    w.poll_wait_ms = w.unheard_polls > 0 ? 0 : poll_wait(ctx, w);
     ctx.out.emplace_back(send_poll{w.report.incarnation, w.report.address, lease_end,
                                    w.stored_sequence, w.poll_wait_ms});
 }
@@ -105,7 +105,7 @@
         return now_ms - w.poll_sent_at_ms >=
                (unlisted ? unlisted_poll_retry_delay_ms : failed_poll_retry_delay_ms);
     }
-    if (!w.verified) {
+    if (!w.verified || w.unheard_polls > 0) {
         return true;
     }
     if (w.applied_sequence > w.stored_sequence) {
@@ -145,16 +145,26 @@
     }
 }
 
+/**
+ * Returns whether the worker hasn't answered a poll that was sent since the leader was last late.
+ * The answers to earlier ones may be waiting.
+ */
+bool is_silent(const coordinator_state& state, const worker& w) {
+    return w.failed_polls > 0 && (w.failed_poll_sent_at_ms >= state.handled_late_at_ms ||
+                                  w.unheard_polls >= max_unheard_polls);
+}
+
 /**
  * Releases the assignments of an unreachable worker once it has left or its lease must have
- * expired. That it is missing from the registry doesn't show that its runs have ended: it may still
- * work, because only its connection to the store is cut.
+ * expired. An answer that is on its way may tell how the runs ended. That it is missing from the
+ * registry doesn't show that its runs have ended: it may still work, because only its connection to
+ * the store is cut.
  */
 void release_after_lease_expiry(reduce_context& ctx, worker& w) {
-    const bool reachable = w.verified && w.failed_polls == 0;
+    const bool may_answer = !is_silent(ctx.state, w) && !w.report.address.empty();
     const bool left = w.has_left && w.failed_polls > 0;
     const bool expired = left || ctx.now.monotonic_ms >= w.lease_expiry_bound_ms;
-    if (reachable || w.assigned.empty() || !expired) {
+    if (may_answer || w.assigned.empty() || !expired) {
         return;
     }
     log_decision(ctx, "worker_lost",
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -89,6 +89,15 @@
     return a.capacity == b.capacity && a.pool == b.pool && a.rack == b.rack;
 }
 
+/**
+ * Returns whether the latest poll, which was given up, may have been answered: the leader has been
+ * late while it was open. After some of these in a row, the worker counts as silent nevertheless,
+ * so that a leader that is always late gives up the workers that it has lost.
+ */
+bool may_have_answered(const coordinator_state& state, const worker& w) {
+    return state.handled_late_at_ms > w.poll_sent_at_ms && w.unheard_polls < max_unheard_polls;
+}
+
 } // namespace
 
 void release_all(reduce_context& ctx, worker& w, std::string_view reason) {
@@ -171,6 +180,7 @@
     }
     w.verified = true;
     w.failed_polls = 0;
+    w.unheard_polls = 0;
     w.answered_at_ms = ctx.now.monotonic_ms;
     w.alive_at_ms = std::max(w.alive_at_ms, answer.sent_at_ms);
     set_clock_reference(w, answer.status.clock_ms, ctx.now.monotonic_ms);
@@ -190,12 +200,17 @@
         return;
     }
     worker& w = *found;
-    ctx.state.capacities.mark_stale(failure.worker);
     w.poll_outstanding = false;
     if (failure.reason == order_failure::fenced) {
         ctx.out.emplace_back(leadership_lost{});
         return;
     }
+    if (failure.reason == order_failure::no_answer && may_have_answered(ctx.state, w)) {
+        ++w.unheard_polls;
+        return;
+    }
+    w.failed_poll_sent_at_ms = w.poll_sent_at_ms;
+    ctx.state.capacities.mark_stale(failure.worker);
     note_failed_poll(w, failure.reason, ctx.now.monotonic_ms);
     if (w.failed_polls++ == 0) {
         log_decision(ctx, "worker_unreachable", "worker=" + failure.worker);
--- a/libs/scheduler/src/worker_sync.h
+++ b/libs/scheduler/src/worker_sync.h
@@ -7,6 +7,9 @@
 /** An unanswered order is resent after this time. */
 inline constexpr time_ms order_resend_interval_ms = 400;
 
+/** Number of unanswered polls in a row that may not count as failed because the leader was late. */
+inline constexpr std::uint32_t max_unheard_polls = 3;
+
 /** Releases all assignments of a worker whose runs are known to be over. */
 void release_all(reduce_context& ctx, worker& w, std::string_view reason);
 
