Scheduler: a repeated start that comes too late doesn't release its run

Cause: a start without an answer is sent again. If the first order was carried out and the second came after its deadline, as with a late leader or relay, the worker's refusal as late released the run at once. Refusals for lack of room respected that case, this one didn't.

Now only the refusal of a sole order releases the run; otherwise the worker's next complete list decides.

--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -240,7 +240,13 @@
     const bool sole_order = t.order_attempts <= 1;
     switch (answer.failure) {
     case order_failure::fenced: ctx.out.emplace_back(leadership_lost{}); return;
-    case order_failure::expired: release_task(ctx, answer.task, ref, "start_expired"); return;
+    case order_failure::expired:
+        // An earlier order may have been carried out; then the next complete list shows the
+        // outcome.
+        if (sole_order) {
+            release_task(ctx, answer.task, ref, "start_expired");
+        }
+        return;
     case order_failure::no_capacity:
     case order_failure::rejected:
         quarantine_worker(ctx, *w, refusal_quarantine_ms);
