--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -27,10 +27,6 @@
     return j.started ? scheduler::job_state::running : scheduler::job_state::queued;
 }
 
-scheduler::instant now() {
-    return {boottime_now(), wall_now()};
-}
-
 } // namespace
 
 struct leader::impl : callback_owner<impl> {
@@ -43,6 +39,8 @@
 
     bool deposed = false;
     time_ms started_at = 0;
+    /** Monotonic time at which the next tick is due. */
+    time_ms tick_due_at = 0;
 
     std::optional<loaded_jobs> loaded;
     std::vector<scheduler::job_spec> early_submissions;
@@ -78,9 +76,20 @@
         registry = std::make_unique<registry_view>(registry_view_context{
             context.loop, context.store, context.log, page_reads, [this] { try_recover(); },
             [this](const scheduler::workers_reported& read) { handle(read); }});
+        schedule_tick();
+    }
+
+    void schedule_tick() {
+        tick_due_at = boottime_now() + tick_ms;
         run_after(context.loop, tick_ms, [](impl& i) { i.tick(); });
     }
 
+    /** Returns the time with the delay of the tick that is due. */
+    [[nodiscard]] scheduler::instant now() const {
+        const time_ms at = boottime_now();
+        return {at, wall_now(), std::max<time_ms>(0, at - tick_due_at)};
+    }
+
     void depose(const char* reason) {
         if (deposed) {
             return;
@@ -152,7 +161,7 @@
             registry->log_age();
             handle(scheduler::tick{});
         }
-        run_after(context.loop, tick_ms, [](impl& i) { i.tick(); });
+        schedule_tick();
     }
 
     void handle(const scheduler::event& e) {
