Event loop: priorities taken back

What the test showed stays open: a timer of 25 ms pauses for as long as 300 waiting answers take (1,561 ms for 5 ms each).

Kept: idle connections age by the monotonic clock.

--- a/libs/http/include/http/event_loop.h
+++ b/libs/http/include/http/event_loop.h
@@ -9,11 +9,7 @@
 
 namespace fulmarworks {
 
-/**
- * Event loop on libevent. Prompt timers and prompt calls run before other events, so a lease is
- * renewed in time also while hundreds of answers wait. Not thread safe; all callbacks run on the
- * thread that calls `run`.
- */
+/** Event loop on libevent. Not thread safe; all callbacks run on the thread that calls `run`. */
 class event_loop {
 public:
     /** Ignores SIGPIPE in the whole process. Throws std::runtime_error if libevent fails. */
@@ -35,10 +31,6 @@
      * is above 0. */
     void every(time_ms interval_ms, std::function<void()> action);
 
-    /** The same, before other events. `action` must be short: while it is due, nothing else runs.
-     */
-    void every_promptly(time_ms interval_ms, std::function<void()> action);
-
     /** Calls `action` once, `delay_ms` from now. */
     void after(time_ms delay_ms, std::function<void()> action);
 
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -38,8 +38,6 @@
     std::vector<http_header> headers = {};
     /** Kind under which the traffic of the call is counted. */
     std::string_view kind = "other";
-    /** Whether the answer is handled before those of other calls. For few and short ones. */
-    bool prompt = false;
 };
 
 /**
--- a/libs/http/src/event_loop.cpp
+++ b/libs/http/src/event_loop.cpp
@@ -1,36 +1,14 @@
 #include "http/event_loop.h"
 
-#include "loop_priority.h"
-
 #include <csignal>
 #include <event2/event.h>
 #include <list>
-#include <memory>
 #include <stdexcept>
 
 namespace fulmarworks {
 
 namespace {
 
-/** Bounds of what runs between two checks for timers and prompt calls. */
-constexpr timeval longest_batch = {0, 20'000};
-constexpr int longest_batch_callbacks = 32;
-
-event_base* make_event_base() {
-    const std::unique_ptr<event_config, void (*)(event_config*)> config(event_config_new(),
-                                                                        event_config_free);
-    if (!config ||
-        event_config_set_max_dispatch_interval(config.get(), &longest_batch,
-                                               longest_batch_callbacks, usual_priority) != 0) {
-        return nullptr;
-    }
-    event_base* base = event_base_new_with_config(config.get());
-    if (base != nullptr) {
-        event_base_priority_init(base, priority_count);
-    }
-    return base;
-}
-
 struct registration {
     std::function<void()> action;
     struct event* handle = nullptr;
@@ -69,17 +47,16 @@
     }
 
     void add_event(int descriptor, short flags, std::function<void()> action, bool once,
-                   const timeval* timeout, int priority = usual_priority) {
+                   const timeval* timeout) {
         registration& r = add(std::move(action), once);
         r.handle = event_new(base, descriptor, flags, run_registration, &r);
-        event_priority_set(r.handle, priority);
         event_add(r.handle, timeout);
     }
 };
 
 event_loop::event_loop() : impl_(std::make_unique<impl>()) {
     std::signal(SIGPIPE, SIG_IGN);
-    impl_->base = make_event_base();
+    impl_->base = event_base_new();
     if (impl_->base == nullptr) {
         throw std::runtime_error("cannot create the event loop; check the limit of descriptors");
     }
@@ -116,11 +93,6 @@
     impl_->add_event(-1, EV_PERSIST, std::move(action), false, &interval);
 }
 
-void event_loop::every_promptly(time_ms interval_ms, std::function<void()> action) {
-    const timeval interval = to_timeval(interval_ms);
-    impl_->add_event(-1, EV_PERSIST, std::move(action), false, &interval, prompt_priority);
-}
-
 void event_loop::after(time_ms delay_ms, std::function<void()> action) {
     const timeval delay = to_timeval(delay_ms);
     impl_->add_event(-1, EV_TIMEOUT, std::move(action), true, &delay);
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -2,7 +2,6 @@
 
 #include "attentive_clock.h"
 #include "http/http_server.h"
-#include "loop_priority.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -292,11 +291,7 @@
             close_later(connection);
             loop.after(0, [handler = std::move(open->on_answer)] { handler({}); });
             delete open;
-            return;
         }
-        // Not earlier, as a new connection resets it.
-        bufferevent_priority_set(evhttp_connection_get_bufferevent(connection),
-                                 call.prompt ? prompt_priority : usual_priority);
     }
 };
 
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -158,7 +158,6 @@
         follow_members();
         register_member();
         run_after(loop, tick_ms, [](impl& i) { i.tick(); });
-        loop.every_promptly(tick_ms, guarded([](impl& i) { i.send_due_lease_write(); }));
         run_after(loop, traffic_log_interval_ms, [](impl& i) { i.log_traffic(); });
     }
 
@@ -392,6 +391,7 @@
 
     void tick() {
         observe_delays();
+        send_due_lease_write();
         update_term();
         if (store.unavailable()) {
             peer_hosts->refresh_view();
