--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -44,8 +44,6 @@
     time_ms send_until_ms = 0;
     /** Kind under which the traffic of the call is counted. */
     std::string_view kind = "other";
-    /** Whether the answer is handled before those of other calls. For few and short ones. */
-    bool prompt = false;
 };
 
 /**
