Logs: texts from outside are quoted, escaped and cut

Seen: with odd entries in the registry (test_soak "odd entries ...", as a trial with pages of 500), 16 lines of the hosts' logs had been forged by a line break in a key, and an error could quote 262,144 bytes of its input (fuzz_decoders "records of hosts ...": 262,302 bytes, limit 2,048).

Cause: keys and parts of documents went into log lines as they were.

Change: log_text() quotes, escapes and cuts; the decision log cuts the fields of a line after 2,048 bytes and replaces control bytes, as a last defence.

--- a/libs/base/include/base/log_line.h
+++ b/libs/base/include/base/log_line.h
@@ -1,10 +1,18 @@
 #pragma once
 
 #include <sstream>
+#include <string>
 #include <string_view>
 
 namespace fulmarworks {
 
+/**
+ * Returns a text from outside as the value of a field in a log line: quoted unless it is a plain
+ * word, with control and non-ASCII bytes, quotes and backslashes escaped, and cut after
+ * `max_bytes` bytes. Thread safe.
+ */
+[[nodiscard]] std::string log_text(std::string_view text, std::size_t max_bytes = 128);
+
 enum class log_level { info, warning, error };
 
 /**
--- a/libs/base/src/log_line.cpp
+++ b/libs/base/src/log_line.cpp
@@ -1,10 +1,45 @@
 #include "base/log_line.h"
 
+#include <algorithm>
 #include <glog/logging.h>
 #include <iomanip>
 
 namespace fulmarworks {
 
+namespace {
+
+bool is_printable(char c) {
+    return c >= ' ' && c <= '~';
+}
+
+} // namespace
+
+std::string log_text(std::string_view text, std::size_t max_bytes) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    const std::string_view shown = text.substr(0, max_bytes);
+    const bool plain = !text.empty() && shown.size() == text.size() &&
+                       std::all_of(text.begin(), text.end(), is_printable) &&
+                       text.find_first_of(" \"\\=") == std::string_view::npos;
+    if (plain) {
+        return std::string(text);
+    }
+    std::string quoted = "\"";
+    for (const char c : shown) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (!is_printable(c)) {
+            quoted += "\\x";
+            quoted += digits[byte >> 4U];
+            quoted += digits[byte & 0xfU];
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            quoted += '\\';
+        }
+        quoted += c;
+    }
+    return quoted + (shown.size() < text.size() ? "...\"" : "\"");
+}
+
 log_line::log_line(log_level level, std::string_view event) : level_(level) {
     text_ << "event=" << event;
 }
--- a/libs/node/src/decision_log.cpp
+++ b/libs/node/src/decision_log.cpp
@@ -1,5 +1,7 @@
 #include "node/decision_log.h"
 
+#include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <fcntl.h>
 #include <unistd.h>
@@ -13,6 +15,8 @@
 constexpr std::uint32_t max_lines_per_second = 200;
 /** Limit of the bytes buffered for a slow reader. */
 constexpr std::size_t buffer_limit_bytes = 128 * 1024;
+/** Limit of the fields of a line, which may quote data from outside. */
+constexpr std::size_t max_fields_bytes = 2048;
 /** Bytes that are buffered before a write, to save system calls. */
 constexpr std::size_t write_size_bytes = 4096;
 
@@ -26,6 +30,7 @@
 }
 
 void decision_log::append_line(std::string_view event, std::string_view fields) {
+    fields = fields.substr(0, max_fields_bytes);
     if (buffer_.size() + event.size() + fields.size() > buffer_limit_bytes) {
         ++dropped_lines_;
         return;
@@ -33,7 +38,11 @@
     buffer_ += "ts=" + std::to_string(wall_now()) + " node=" + name_ + " event=";
     buffer_ += event;
     buffer_ += ' ';
+    const std::size_t start = buffer_.size();
     buffer_ += fields;
+    std::replace_if(
+        buffer_.begin() + static_cast<std::ptrdiff_t>(start), buffer_.end(),
+        [](unsigned char c) { return std::iscntrl(c) != 0; }, '?');
     buffer_ += '\n';
 }
 
