Registry and members: an odd entry names no worker and no host

Seen: after entries with a start in the future had overwritten those of the sound workers until their next heartbeat, the leader logged them as restarted in the future, then as unreachable, and a job stayed running to the end of the test, over four more changes of leader (test_soak "odd entries ...", as a trial with pages of 500: this phase and all later ones failed, one job LOST). With a line break in its key, an entry at a sound worker's address had its orders sent without the header that names the worker, and the worker accepted them (a program linked with: "accepted 1", header empty). A share of a core of 1e400 in the list of members gave a NaN that was cast to an integer (here 0; undefined).

Cause: the newest start seen is kept, so the worker's own answers counted as late ones of an earlier incarnation; keys went into headers unchecked; shares were read by strtod.

Change: ids are printable ASCII without spaces, addresses can be called, a start is at most a minute ahead of this host's clock, shares are above 0 and at most 1024 (also in settings, with link_mbps); views of peers with a negative age and peers' submissions under a key that is no job id are refused. Left: a foreign entry whose start is less than a minute ahead.

--- a/libs/gateway/include/gateway/classify.h
+++ b/libs/gateway/include/gateway/classify.h
@@ -57,6 +57,9 @@
 [[nodiscard]] const route* find_route(const configuration& config, std::string_view host,
                                       std::string_view path);
 
+/** Returns whether `text` can be the id of a job. Thread safe. */
+[[nodiscard]] bool is_job_id(std::string_view text);
+
 /** Returns the HTTP status for a refusal. Thread safe. */
 [[nodiscard]] int status_of(refusal reason);
 
--- a/libs/gateway/src/classify.cpp
+++ b/libs/gateway/src/classify.cpp
@@ -9,12 +9,6 @@
 
 constexpr std::size_t job_id_digits = 16;
 
-bool is_job_id(std::string_view text) {
-    return text.size() == job_id_digits &&
-           std::all_of(text.begin(), text.end(),
-                       [](unsigned char c) { return std::isxdigit(c) != 0; });
-}
-
 std::string_view without_port(std::string_view host) {
     return host.substr(0, host.find(':'));
 }
@@ -43,6 +37,12 @@
 
 } // namespace
 
+bool is_job_id(std::string_view text) {
+    return text.size() == job_id_digits &&
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
 const route* find_route(const configuration& config, std::string_view host, std::string_view path) {
     const std::string_view name = without_port(host);
     const route* best = nullptr;
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -1,11 +1,13 @@
 #include "node/entry_node.h"
 
+#include "base/log_line.h"
 #include "callback_owner.h"
 #include "caller_api.h"
 #include "evacuations.h"
 #include "leader.h"
 #include "leader_elector.h"
 #include "loop_monitor.h"
+#include "member_entry.h"
 #include "peers.h"
 #include "platform/documents.h"
 #include "platform/headers.h"
@@ -210,7 +212,16 @@
     }
 
     void apply_member(const platform::logged_record& record) {
-        peer_hosts->add_member(record.key, std::strtod(record.value.c_str(), nullptr));
+        if (record.value.empty()) {
+            return; // members aren't removed; those that don't answer are chosen last
+        }
+        const auto member = decode_member(record);
+        if (member) {
+            peer_hosts->add_member(member.value().address, member.value().cpu_share);
+        } else {
+            log.write("member_entry_unreadable", "key=" + log_text(record.key) + " error=\"" +
+                                                     describe(member.error()) + "\"");
+        }
     }
 
     /** Stores this host's address and processor share, by which other hosts find it. */
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -1,14 +1,15 @@
 #include "leader.h"
 
+#include "base/log_line.h"
 #include "callback_owner.h"
 #include "job_loader.h"
-#include "platform/documents.h"
 #include "progress_writer.h"
 #include "run_time_store.h"
 #include "scheduler/coordinator.h"
 #include "start_sender.h"
 #include "submission_deletion.h"
 #include "topic_follower.h"
+#include "worker_entry.h"
 
 #include <unordered_map>
 
@@ -147,9 +148,10 @@
             handle(scheduler::worker_unlisted{record.key, true});
             return;
         }
-        auto report = platform::decode_worker_report(record.key, record.value);
+        auto report = decode_worker_entry(record, wall_now());
         if (!report) {
-            context.log.write("worker_entry_unreadable", "worker=" + record.key + " error=\"" +
+            context.log.write("worker_entry_unreadable", "worker=" + log_text(record.key) +
+                                                             " error=\"" +
                                                              describe(report.error()) + "\"");
             handle(scheduler::worker_unlisted{record.key, false});
             return;
@@ -185,7 +187,7 @@
         state->deleted_jobs = std::move(loaded->orphaned_progress);
         loaded.reset();
         for (const auto& id : state->unreadable_jobs) {
-            context.log.write("progress_unreadable", "request=" + id);
+            context.log.write("progress_unreadable", "request=" + log_text(id));
         }
         context.log.write("leader_ready",
                           "epoch=" + std::to_string(epoch) +
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -1,7 +1,9 @@
 #include "node/node_settings.h"
 
 #include "http/http_server.h"
+#include "member_entry.h"
 
+#include <cmath>
 #include <yaml-cpp/yaml.h>
 
 namespace fulmarworks::node {
@@ -11,6 +13,9 @@
 /** One year; a longer duration is taken for a wrong unit. */
 constexpr double max_duration_s = 366.0 * 24 * 3600;
 
+/** Faster than any host's link; a larger number is taken for a wrong unit. */
+constexpr double max_link_mbps = 1e6;
+
 /** Reads the keys of a YAML mapping and collects an error for each invalid value. */
 class settings_reader {
 public:
@@ -38,6 +43,13 @@
         }
     }
 
+    void at_most(const char* key, double value, double limit) {
+        if (value > limit) {
+            const std::string problem = "must be at most " + std::to_string(std::lround(limit));
+            add_error(key, problem.c_str());
+        }
+    }
+
     void seconds(const char* key, time_ms& value) {
         double in_seconds = static_cast<double>(value) / milliseconds_per_second;
         positive(key, in_seconds);
@@ -105,7 +117,9 @@
     r.positive("internal_port", s.internal_port);
     r.positive("store_partitions", s.store_partitions);
     r.positive("cpu_share", s.cpu_share);
+    r.at_most("cpu_share", s.cpu_share, max_cpu_share);
     r.positive("link_mbps", s.link_mbps);
+    r.at_most("link_mbps", s.link_mbps, max_link_mbps);
     r.seconds("stop_grace_s", s.stop_grace_ms);
     r.positive("configuration_bound_ms", s.configuration_bound_ms);
     r.positive("max_lease_ms", s.limits.max_lease_ms);
--- a/libs/node/src/peers.cpp
+++ b/libs/node/src/peers.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json.h"
 #include "callback_owner.h"
+#include "gateway/classify.h"
 #include "timing.h"
 
 #include <algorithm>
@@ -18,6 +19,9 @@
 /** Time for which a peer that failed is chosen only if all peers have failed. */
 constexpr time_ms failed_peer_backoff_ms = 3000;
 
+/** Limits the age of a configuration, so that differences of times don't overflow. */
+constexpr time_ms max_view_age_ms = 366 * 24 * milliseconds_per_hour;
+
 json encode_view(const store_view& v) {
     json j = {{"version", v.configuration_version},
               {"configuration", v.configuration},
@@ -40,6 +44,9 @@
         v.configuration_version = integer_from_json<std::uint64_t>(j.at("version"));
         v.configuration = j.at("configuration").get<std::string>();
         v.configuration_age_ms = integer_from_json<time_ms>(j.at("configuration_age_ms"));
+        if (v.configuration_age_ms < 0 || v.configuration_age_ms > max_view_age_ms) {
+            return std::nullopt; // a negative age would confirm the configuration ahead of time
+        }
         if (j.contains("lease")) {
             const auto lease = decode_lease(j.at("lease").get<std::string>());
             if (!lease) {
@@ -153,6 +160,10 @@
 
     void serve_append(const std::string& id, const http_request& request,
                       const std::function<void(const http_response&)>& respond) const {
+        if (!gateway::is_job_id(id)) {
+            respond(empty_response(400));
+            return;
+        }
         if (context.store.unavailable()) {
             respond(empty_response(status_of(platform::store_status::refused)));
             return;
