Stored records: bounded depth, UTF-8 texts, no more occurrences than the job

Seen: a record of 262,144 bytes 0x91 among the submissions overflows the stack (a program linked with ends with SIGSEGV; fuzz_decoders "stored records ..." too). A job id that is no UTF-8 ends the process when its start is written as JSON (type_error.316, uncaught). A progress record of 65,535 occurrences made as many in memory.

Cause: the MessagePack parser calls itself for each level and doesn't check texts.

Change: parse_msgpack() ends the parse beyond 32 levels, as parse_json() does, and refuses texts that are no UTF-8; occurrences are counted first.

--- a/libs/base/include/base/json.h
+++ b/libs/base/include/base/json.h
@@ -21,6 +21,12 @@
 /** Parses untrusted JSON. Never throws. Thread safe. */
 [[nodiscard]] result<json> parse_json(std::string_view text);
 
+/**
+ * Parses untrusted MessagePack, up to `max_json_depth` like JSON. Texts must be UTF-8, as others
+ * can't be written as JSON. Never throws. Thread safe.
+ */
+[[nodiscard]] result<json> parse_msgpack(std::string_view bytes);
+
 /**
  * Converts a number to the integer type `T`, truncating a fraction. Throws `json::exception` for
  * another JSON type and for a number out of the range of `T`, for which the conversion of the JSON
--- a/libs/run_times/src/class_codec.cpp
+++ b/libs/run_times/src/class_codec.cpp
@@ -21,8 +21,7 @@
 constexpr double max_bucket_weight = 1e6;
 /** Bounds differences of times, which must not overflow. A class this old has no weight. */
 constexpr time_ms max_age_ms = 366 * 24 * milliseconds_per_hour;
-/** An encoded class takes at most 1500 bytes and its names. The limit also bounds the nesting depth
- * of a malformed value, which the decoder follows by recursion. */
+/** An encoded class takes at most 1500 bytes and its names. */
 constexpr std::size_t max_value_bytes = 4096;
 
 json encode_weights(const log_histogram& h, double factor) {
@@ -110,7 +109,11 @@
     if (value.size() > max_value_bytes) {
         return std::nullopt;
     }
-    const json fields = json::from_msgpack(value.begin(), value.end(), true, false);
+    const auto parsed = parse_msgpack(value);
+    if (!parsed) {
+        return std::nullopt;
+    }
+    const json& fields = parsed.value();
     if (!fields.is_array() || fields.size() != field_count || fields[0] != layout_version) {
         return std::nullopt;
     }
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -22,7 +22,11 @@
 }
 
 result<json> unpack(std::string_view data, std::initializer_list<int> layouts) {
-    json j = json::from_msgpack(data.begin(), data.end(), true, false);
+    auto parsed = parse_msgpack(data);
+    if (!parsed) {
+        return parsed.error();
+    }
+    json& j = parsed.value();
     const bool known =
         j.is_array() && !j.empty() &&
         std::any_of(layouts.begin(), layouts.end(), [&](int layout) { return j[0] == layout; });
@@ -30,7 +34,7 @@
         return error{error_kind::malformed_data, "stored record has an unknown layout version",
                      "upgrade every instance to a release that supports this layout"};
     }
-    return j;
+    return std::move(j);
 }
 
 template <class T>
@@ -314,6 +318,12 @@
         const auto decode = [&](const json& t) {
             return earlier_layout ? decode_task_of_layout_1(t) : decode_task(t, workers);
         };
+        if (stored.at(4).size() > std::max<std::size_t>(j.spec.repeat_count, 1)) {
+            constexpr int other_error_id = 501;
+            // NOLINTNEXTLINE(hicpp-exception-baseclass)
+            throw json::other_error::create(other_error_id, "more occurrences than the job has",
+                                            &stored);
+        }
         for (const json& o : stored.at(4)) {
             occurrence restored =
                 make_occurrence(j.spec, static_cast<std::uint32_t>(j.occurrences.size()));
