--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -1,6 +1,8 @@
 #include "job_loader.h"
 
+#include "base/log_line.h"
 #include "callback_owner.h"
+#include "gateway/classify.h"
 #include "page_timeout.h"
 #include "scheduler/codec.h"
 #include "timing.h"
@@ -63,9 +65,13 @@
 
     std::optional<scheduler::job_spec> decode(const std::string& id, const std::string& data) {
         auto spec = scheduler::decode_job_spec(data);
+        if (spec && !gateway::is_job_id(id)) {
+            spec = error{error_kind::malformed_data, "the key is no id of a job",
+                         "delete the submission"};
+        }
         if (!spec) {
-            context.log.write("submission_unreadable",
-                              "request=" + id + " error=\"" + describe(spec.error()) + "\"");
+            context.log.write("submission_unreadable", "request=" + log_text(id) + " error=\"" +
+                                                           describe(spec.error()) + "\"");
             return std::nullopt;
         }
         spec.value().id = id;
@@ -101,8 +107,8 @@
         for (const auto& record : page.records) {
             progress_records[record.key] = record.value;
         }
-        if (page.has_more && !page.records.empty()) {
-            load_page(page.records.back().key);
+        if (const auto next = platform::next_page_start(page, after)) {
+            load_page(*next);
         } else {
             progress_complete = true;
             log_phase("progress", progress_records.size());
--- a/libs/node/src/run_time_store.cpp
+++ b/libs/node/src/run_time_store.cpp
@@ -1,5 +1,6 @@
 #include "run_time_store.h"
 
+#include "base/log_line.h"
 #include "callback_owner.h"
 #include "page_timeout.h"
 #include "run_time_writes.h"
@@ -64,8 +65,8 @@
         for (const auto& record : page.records) {
             restore(record);
         }
-        if (page.has_more && !page.records.empty()) {
-            read_page(page.records.back().key);
+        if (const auto next = platform::next_page_start(page, after)) {
+            read_page(*next);
         } else {
             loaded();
         }
@@ -78,7 +79,7 @@
         ++records_read;
         if (!context.model.restore(record.key, record.value, boottime_now())) {
             ++records_unreadable;
-            context.log.write("run_times_unreadable", "key=" + record.key + " bytes=" +
+            context.log.write("run_times_unreadable", "key=" + log_text(record.key) + " bytes=" +
                                                           std::to_string(record.value.size()));
         }
     }
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -95,14 +95,15 @@
             if (after.empty()) {
                 i.first_page_end = page.end;
             }
-            i.page_loaded(page, started_at);
+            i.page_loaded(page, after, started_at);
         });
     }
 
-    void page_loaded(const platform::newest_outcome& page, time_ms started_at) {
+    void page_loaded(const platform::newest_outcome& page, const std::string& after,
+                     time_ms started_at) {
         snapshot_records.insert(snapshot_records.end(), page.records.begin(), page.records.end());
-        if (page.has_more && !page.records.empty()) {
-            load_page(page.records.back().key, started_at);
+        if (const auto next = platform::next_page_start(page, after)) {
+            load_page(*next, started_at);
             return;
         }
         loaded = true;
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr time_ms waiting_read_interval_ms = 10;
-constexpr std::size_t max_page_items = 500;
 constexpr std::size_t max_kept_answers = 5;
 constexpr std::uint64_t max_body_bytes = 4U << 20U;
 
@@ -58,7 +57,8 @@
 http_response reply(int status, const json& body) {
     http_response response;
     response.status = status;
-    response.body = body.dump();
+    // A key that isn't UTF-8 has no exact form in JSON.
+    response.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     return response;
 }
 
@@ -197,7 +197,7 @@
     const topic_state& topic = topics_[log_name(request.query)];
     auto next = topic.newest.upper_bound(query_value(request.query, "dependsOn"));
     json items = json::array();
-    for (; next != topic.newest.end() && items.size() < max_page_items; ++next) {
+    for (; next != topic.newest.end() && items.size() < max_page_items_; ++next) {
         items.push_back({{"key", next->first},
                          {"value", encode_base64(topic.records[next->second].value)},
                          {"offset", next->second}});
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -40,6 +40,9 @@
     /** Refuses all calls for one topic; an empty name ends this. */
     void refuse_topic(const std::string& topic) { refused_topic_ = topic; }
 
+    /** Limits the pages of /log-newest; at least 1. */
+    void set_page_items(std::size_t items) { max_page_items_ = items; }
+
     /** Returns the newest value of a key, or nullopt if the key was deleted or never written. */
     [[nodiscard]] std::optional<std::string> newest_of(const std::string& topic,
                                                        const std::string& key) const;
@@ -88,6 +91,7 @@
     std::map<std::string, topic_state> topics_;
     std::map<std::uint64_t, waiting_read> waiting_reads_;
     std::string refused_topic_;
+    std::size_t max_page_items_ = 500;
     std::unique_ptr<http_server> server_;
 };
 
