Stalls: progress may stand for as long as a percent takes

Cause: the limit of 3 s below 100 percent knew nothing of the length of the run.

Change: the limit is twice the time of a percent, as seen in this run or else by the caller's estimate, 3 s at least. As estimates may be far too small, a task that stalled or failed before gets twice the time at each start, up to three hours; the number of its run is stored, so this holds over changes of the leader. Runs of less than 150 s by their estimate keep the limit of 3 s at their first start.

--- a/libs/scheduler/src/run_supervision.cpp
+++ b/libs/scheduler/src/run_supervision.cpp
@@ -38,16 +38,35 @@
     return picked;
 }
 
+/** Returns the time from one percent to the next: that of the run so far, or else as estimated. */
+time_ms expected_percent_ms(const task_ref& ref) {
+    const task& t = *ref.item;
+    if (t.percent > 0 && t.observed_from_start) {
+        return (t.progressed_at_ms - t.started_at_ms) / t.percent;
+    }
+    return ref.spec->estimate_ms / complete_percent;
+}
+
 /** Only answered polls show that the progress is unchanged: a worker that isn't polled for some
  * time must not be taken for a stalled one. */
-progress_observation observe_progress(const worker& w, const task& t) {
-    return {t.percent, w.answered_at_ms - t.progressed_at_ms};
+progress_observation observe_progress(const worker& w, const task_ref& ref) {
+    const task& t = *ref.item;
+    progress_observation o{t.percent, w.answered_at_ms - t.progressed_at_ms};
+    o.percent_ms = expected_percent_ms(ref);
+    // A gang stalls as a whole, but only one of its members may have been taken for stalled.
+    const auto& tasks = ref.progress->tasks;
+    const bool stopped_before =
+        ref.spec->gang ? std::any_of(tasks.begin(), tasks.end(),
+                                     [](const task& other) { return !other.failed_on.empty(); })
+                       : !t.failed_on.empty();
+    o.earlier_starts = stopped_before && t.run > 0 ? t.run - 1 : 0;
+    return o;
 }
 
 /** Returns the stalled runs of a worker that answers its polls. */
 std::vector<task_id> find_stalled_runs(reduce_context& ctx, const worker& w) {
     const auto is_stalled = [&](const task_ref& ref, bool worker_has_stalled_run) {
-        progress_observation o = observe_progress(w, *ref.item);
+        progress_observation o = observe_progress(w, ref);
         o.worker_has_stalled_run = worker_has_stalled_run;
         if (judge_progress(o) == progress_verdict::advancing) {
             return false;
--- a/libs/scheduler/src/stall_evidence.h
+++ b/libs/scheduler/src/stall_evidence.h
@@ -2,6 +2,8 @@
 
 #include "base/time.h"
 
+#include <cstdint>
+
 namespace fulmarworks::scheduler {
 
 /** Whether a run makes progress, as far as its worker's reports tell. */
@@ -21,6 +23,10 @@
     bool worker_has_stalled_run = false;
     /** Time at 100 percent that the run's class justifies; 0 if it is not known. */
     time_ms usual_overrun_ms = 0;
+    /** Expected time from one percent to the next; 0 if it is not known. */
+    time_ms percent_ms = 0;
+    /** Number of earlier starts of a task that has stalled or failed before. */
+    std::uint32_t earlier_starts = 0;
 };
 
 /**
@@ -28,7 +34,9 @@
  *
  * Handles long-tailed run times: progress reaches 100 percent at the usual run time and stays there
  * until the task ends, so only progress below 100 percent that does not change is evidence by
- * itself. Workers that stall do so with all their runs at once. Thread safe.
+ * itself, and only if it stands for longer than a whole percent takes. A task that was stopped
+ * before gets twice the time at each start, as it may take longer than expected. Workers that stall
+ * do so with all their runs at once. Thread safe.
  */
 [[nodiscard]] progress_verdict judge_progress(const progress_observation& o);
 
--- a/libs/scheduler/tests/stall_evidence_test.cpp
+++ b/libs/scheduler/tests/stall_evidence_test.cpp
@@ -36,6 +36,38 @@
     CHECK(judge_progress({100, 2000, false, 1000}) == progress_verdict::advancing);
 }
 
+// Guards against tasks of minutes and hours that are stopped between two whole percents, and begun
+// again for ever.
+TEST_CASE("stall evidence: a run that reports whole percents isn't stopped between two of them") {
+    coordinator_fixture f;
+    f.add_worker("w1");
+    auto spec = f.make_job("a", 1, {1000, 1000, 1});
+    spec.steps[0].estimate_ms = 400'000;
+    f.send(job_submitted{std::move(spec)});
+    f.accept_start(*f.take<send_start>());
+    f.advance(50);
+    f.take_all<send_poll>();
+    for (int percent = 0; percent < 5; ++percent) {
+        stand_still(f, {only_task}, percent, 4000);
+    }
+    CHECK_FALSE(f.take<send_stop>());
+    stand_still(f, {only_task}, 5, 10'000); // stalls
+    CHECK(f.take<send_stop>());
+}
+
+TEST_CASE("stall evidence: a task that was stopped before gets twice the time at each start") {
+    progress_observation o{40, 5999};
+    o.earlier_starts = 1;
+    CHECK(judge_progress(o) == progress_verdict::advancing);
+    o.unchanged_for_ms = 6000;
+    CHECK(judge_progress(o) == progress_verdict::stalled);
+    o.earlier_starts = 7; // a percent of a run of ten hours takes 360 s
+    o.unchanged_for_ms = 360'000;
+    CHECK(judge_progress(o) == progress_verdict::advancing);
+    o.earlier_starts = 1'000'000;
+    CHECK(judge_progress(o) == progress_verdict::advancing);
+}
+
 // Guards against long tasks that are stopped at their usual run time and never finish.
 TEST_CASE("stall evidence: a task that runs seven times longer than usual isn't stopped") {
     coordinator_fixture f;
