Pending jobs: a job has begun once a worker has confirmed a start

Reproduced: test_scheduler "a job is pending until a worker has confirmed a start" fails on the code before (0 == 1).

Cause: the flag was set with the placement and never taken back.

Change: it is set by a confirmed start, a listed run or a listed end, and stored with the job's next record, without a write of its own. A new leader may therefore show such a job as queued until its worker answers.

--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -123,7 +123,7 @@
     std::vector<occurrence> occurrences;
     bool cancel_requested = false;
     bool failed = false;
-    /** Whether any task was ever assigned to a worker. */
+    /** Whether a worker has confirmed a start of any task. */
     bool started = false;
     /** Monotonic time of the acceptance; estimated after a change of leader. */
     time_ms accepted_at_ms = 0;
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -194,7 +194,6 @@
     t.lost = false;
     t.start_delayed = false;
     t.start_allowed = false;
-    ref.owner->started = true;
     ctx.state.workers.at(where.id).assigned.insert(id);
     ctx.state.capacities.mark_stale(where.id);
     mark_changed(ctx, *ref.owner);
@@ -295,6 +294,7 @@
 
 void apply_end(reduce_context& ctx, const task_ref& ref, const ended_run& end) {
     job& owner = *ref.owner;
+    owner.started = true;
     log_decision(ctx, "task_ended",
                  describe_task(end.task, end.run) + " worker=" + ref.item->where.id +
                      " reason=" + std::string(name_of(end.reason)));
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -113,7 +113,10 @@
     }
 }
 
-void confirm_run(task& t, time_ms now_ms) {
+void confirm_run(const task_ref& ref, time_ms now_ms) {
+    task& t = *ref.item;
+    // Not stored by itself: a new leader confirms the run again, from its worker's list.
+    ref.owner->started = true;
     begin_measurement(t, now_ms);
     t.phase = task_phase::running;
     t.order_attempts = 0;
@@ -133,7 +136,7 @@
 void apply_active_run(reduce_context& ctx, const active_run& run, const task_ref& ref) {
     task& t = *ref.item;
     if (t.phase == task_phase::ordered || t.phase == task_phase::unverified) {
-        confirm_run(t, ctx.now.monotonic_ms);
+        confirm_run(ref, ctx.now.monotonic_ms);
         t.started_at_ms = t.started_at_ms == 0 ? ctx.now.monotonic_ms : t.started_at_ms;
     }
     update_progress(ctx, run, ref);
@@ -358,7 +361,7 @@
     }
     task& t = *ref.item;
     if (answer.accepted) {
-        confirm_run(t, ctx.now.monotonic_ms);
+        confirm_run(ref, ctx.now.monotonic_ms);
         return;
     }
     const bool sole_order = t.order_attempts <= 1;
