--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -82,6 +82,10 @@
     std::set<std::pair<time_ms, open_call*>> timeouts;
     std::unordered_set<evhttp_connection*> closing_connections;
     traffic_meter traffic;
+    /** Whether `send` runs. A connection that fails at once, such as one to an address without a
+     * route, completes its request within that call, and handlers must not run before it returns.
+     */
+    bool sending = false;
     attentive_clock clock{monotonic_now()};
     time_ms idle_checked_at = 0;
     time_ms overdue_checked_at = 0;
@@ -199,9 +203,13 @@
         } else {
             client->close_later(call->connection);
         }
-        const auto handler = std::move(call->on_answer);
+        auto handler = std::move(call->on_answer);
         delete call;
-        handler(answer);
+        if (client->sending) {
+            client->loop.after(0, [handler = std::move(handler), answer] { handler(answer); });
+        } else {
+            handler(answer);
+        }
     }
 
     void forget(open_call* call) {
@@ -353,8 +361,11 @@
         }
         ++counts.calls;
         counts.bytes_sent += call.body.size() + call.target.size() + header_bytes(request, false);
-        if (evhttp_make_request(connection, request, to_evhttp_command(call.method),
-                                call.target.c_str()) != 0) {
+        sending = true;
+        const int made = evhttp_make_request(connection, request, to_evhttp_command(call.method),
+                                             call.target.c_str());
+        sending = false;
+        if (made != 0) {
             forget(open);
             stop_watching(*open);
             close_later(connection);
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -1,5 +1,6 @@
 #include "leader.h"
 
+#include "base/log_line.h"
 #include "callback_owner.h"
 #include "job_loader.h"
 #include "progress_writer.h"
@@ -126,7 +127,7 @@
         state->deleted_jobs = std::move(loaded->orphaned_progress);
         loaded.reset();
         for (const auto& id : state->unreadable_jobs) {
-            context.log.write("progress_unreadable", "request=" + id);
+            context.log.write("progress_unreadable", "request=" + log_text(id));
         }
         context.log.write("leader_ready",
                           "epoch=" + std::to_string(epoch) +
--- a/libs/node/src/registry_view.cpp
+++ b/libs/node/src/registry_view.cpp
@@ -1,8 +1,9 @@
 #include "registry_view.h"
 
+#include "base/log_line.h"
 #include "callback_owner.h"
-#include "platform/documents.h"
 #include "topic_follower.h"
+#include "worker_entry.h"
 
 #include <utility>
 
@@ -68,9 +69,10 @@
             unread.changes.emplace_back(scheduler::worker_unlisted{record.key, true});
             return;
         }
-        auto report = platform::decode_worker_report(record.key, record.value);
+        auto report = decode_worker_entry(record, wall_now());
         if (!report) {
-            context.log.write("worker_entry_unreadable", "worker=" + record.key + " error=\"" +
+            context.log.write("worker_entry_unreadable", "worker=" + log_text(record.key) +
+                                                             " error=\"" +
                                                              describe(report.error()) + "\"");
             unread.changes.emplace_back(scheduler::worker_unlisted{record.key, false});
             return;
--- a/libs/scheduler/src/current_run.cpp
+++ b/libs/scheduler/src/current_run.cpp
@@ -9,7 +9,10 @@
            ref.item->where == w.report.incarnation;
 }
 
-void confirm_run(task& t, time_ms now_ms) {
+void confirm_run(const task_ref& ref, time_ms now_ms) {
+    task& t = *ref.item;
+    // Not stored by itself: a new leader confirms the run again, from its worker's list.
+    ref.owner->started = true;
     begin_measurement(t, now_ms);
     t.phase = task_phase::running;
     t.order_attempts = 0;
--- a/libs/scheduler/src/current_run.h
+++ b/libs/scheduler/src/current_run.h
@@ -8,6 +8,6 @@
 [[nodiscard]] bool is_current(const task_ref& ref, const worker& w, std::uint32_t run);
 
 /** Records that a worker has confirmed the current run of a task. */
-void confirm_run(task& t, time_ms now_ms);
+void confirm_run(const task_ref& ref, time_ms now_ms);
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/order_answers.cpp
+++ b/libs/scheduler/src/order_answers.cpp
@@ -23,7 +23,7 @@
     }
     task& t = *ref.item;
     if (answer.accepted) {
-        confirm_run(t, ctx.now.monotonic_ms);
+        confirm_run(ref, ctx.now.monotonic_ms);
         return;
     }
     const bool sole_order = t.order_attempts <= 1;
--- a/libs/scheduler/src/run_lists.cpp
+++ b/libs/scheduler/src/run_lists.cpp
@@ -26,7 +26,7 @@
 void apply_active_run(reduce_context& ctx, const active_run& run, const task_ref& ref) {
     task& t = *ref.item;
     if (t.phase == task_phase::ordered || t.phase == task_phase::unverified) {
-        confirm_run(t, ctx.now.monotonic_ms);
+        confirm_run(ref, ctx.now.monotonic_ms);
         t.started_at_ms = t.started_at_ms == 0 ? ctx.now.monotonic_ms : t.started_at_ms;
     }
     update_progress(ctx, run, ref);
--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -7,6 +7,8 @@
 constexpr time_ms change_interval_ms = 330;
 constexpr time_ms notice_ms = 4000;
 constexpr time_ms absence_ms = 3000;
+/** Time for which leaving workers stay after their announced end. */
+constexpr time_ms linger_ms = 1500;
 /** Time over which simultaneous kills are spread. */
 constexpr time_ms kill_spread_ms = 200;
 constexpr time_ms burst_interval_ms = 12;
@@ -59,7 +61,7 @@
         const auto interval = static_cast<std::size_t>(1 / share);
         for (std::size_t i = group; i < targets_.workers.size(); i += interval) {
             soak_worker* w = targets_.workers[i].get();
-            targets_.loop.after(at_ms, [w] { w->drain(notice_ms); });
+            targets_.loop.after(at_ms, [w] { w->drain(notice_ms, linger_ms); });
             targets_.loop.after(at_ms + notice_ms + absence_ms, [w] { w->rejoin(); });
         }
         add(at_ms, "one in " + std::to_string(interval) + " workers drains and leaves");
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr time_ms waiting_read_interval_ms = 10;
-constexpr std::size_t max_page_items = 500;
 constexpr std::size_t max_page_bytes = 1U << 20U;
 constexpr std::int64_t default_read_kb = 1024;
 constexpr std::size_t bytes_per_kb = 1024;
@@ -61,7 +60,8 @@
 http_response reply(int status, const json& body) {
     http_response response;
     response.status = status;
-    response.body = body.dump();
+    // A key that isn't UTF-8 has no exact form in JSON.
+    response.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     return response;
 }
 
@@ -213,7 +213,7 @@
     auto next = topic.newest.upper_bound(query_value(request.query, "dependsOn"));
     json items = json::array();
     std::size_t bytes = 0;
-    for (; next != topic.newest.end() && items.size() < max_page_items && bytes < max_page_bytes;
+    for (; next != topic.newest.end() && items.size() < max_page_items_ && bytes < max_page_bytes;
          ++next) {
         bytes += topic.records[next->second].value.size();
         items.push_back({{"key", next->first},
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -40,6 +40,9 @@
     /** Refuses all calls for one topic; an empty name ends this. */
     void refuse_topic(const std::string& topic) { refused_topic_ = topic; }
 
+    /** Limits the pages of /log-newest; at least 1. */
+    void set_page_items(std::size_t items) { max_page_items_ = items; }
+
     /** Returns the newest value of a key, or nullopt if the key was deleted or never written. */
     [[nodiscard]] std::optional<std::string> newest_of(const std::string& topic,
                                                        const std::string& key) const;
@@ -96,6 +99,7 @@
     std::map<std::string, topic_state> topics_;
     std::map<std::uint64_t, waiting_read> waiting_reads_;
     std::string refused_topic_;
+    std::size_t max_page_items_ = 500;
     std::size_t read_bytes_per_second_ = 0;
     /** Monotonic time at which the answers of all earlier reads are sent. */
     time_ms reads_busy_until_ = 0;
