Test: ids of jobs as callers send them

The test of late submissions used keys that are no ids of jobs, which a loader now skips with a log line (outside data). With ids it checks what it checked before: 1,200 jobs, none orphaned; passes.

--- a/tests/soak/topic_follower_test.cpp
+++ b/tests/soak/topic_follower_test.cpp
@@ -141,6 +141,16 @@
     CHECK(f.run_until([&] { return f.caught_up(); }));
 }
 
+namespace {
+
+std::string job_id(int number) {
+    constexpr std::size_t id_digits = 16;
+    const std::string text = std::to_string(number);
+    return std::string(id_digits - text.size(), '0') + text;
+}
+
+} // namespace
+
 // A new leader deleted the progress of jobs whose submissions it hadn't read yet.
 TEST_CASE("a new leader reads all parts of the submissions before it takes progress for orphaned") {
     constexpr int job_count = 1200;
@@ -158,9 +168,9 @@
     spec.payload.resize(4000, 'x');
     spec.steps.emplace_back();
     for (int i = 0; i < job_count; ++i) {
-        f.store.put("keyed.submissions", std::to_string(i), scheduler::encode_job_spec(spec));
+        f.store.put("keyed.submissions", job_id(i), scheduler::encode_job_spec(spec));
     }
-    f.store.put("keyed.progress", std::to_string(job_count - 1), "progress");
+    f.store.put("keyed.progress", job_id(job_count - 1), "progress");
     f.loop.run_until([] { return false; }, initial_read_ms);
     f.store.refuse_topic("");
     loader.load_progress();
