--- a/benchmarks/decisions/backlog_bench.cpp
+++ b/benchmarks/decisions/backlog_bench.cpp
@@ -122,7 +122,8 @@
     backlogged_leader leader(static_cast<int>(state.range(0)));
     std::size_t placed = 0;
     for (auto _ : state) {
-        placed += make_plan(leader.state, plan_scope::all, leader.now.monotonic_ms).placements.size();
+        placed +=
+            make_plan(leader.state, plan_scope::all, leader.now.monotonic_ms).placements.size();
     }
     state.counters["placed"] = static_cast<double>(placed);
     state.counters["waiting"] = static_cast<double>(leader.state.waiting_jobs.size());
--- a/libs/scheduler/src/run_lists.cpp
+++ b/libs/scheduler/src/run_lists.cpp
@@ -124,9 +124,10 @@
     std::set<task_id> listed;
     const bool all_active_known = answer.status.unreadable_rows == 0;
     const auto removed = std::erase_if(w.orphaned_runs, [&](const auto& s) {
-        return all_active_known && std::none_of(
-            answer.status.active.begin(), answer.status.active.end(),
-            [&](const auto& run) { return run.task == s.task && run.run == s.run; });
+        return all_active_known && std::none_of(answer.status.active.begin(),
+                                                answer.status.active.end(), [&](const auto& run) {
+                                                    return run.task == s.task && run.run == s.run;
+                                                });
     });
     if (removed > 0) {
         ctx.state.capacities.mark_stale(w.report.incarnation.id);
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -75,8 +75,8 @@
     give_up_jobs(ctx, hopeless);
 }
 
-/** Takes a reading of a worker's clock. An answer that was handled late, and so is a lower bound than
- * the one known, is ignored. */
+/** Takes a reading of a worker's clock. An answer that was handled late, and so is a lower bound
+ * than the one known, is ignored. */
 void set_clock_reference(worker& w, time_ms clock_ms, time_ms now_ms) {
     if (w.clock_reference_ms != 0 && worker_clock(w, now_ms) > clock_ms) {
         return;
