Polled topics are read at intervals from when a read is sent

Cause: the pause of 300 ms began when a read ended, so a leader whose reads take a second added it to the age of its view, and the permission to start (0.6 of the drain bound) ran out between reads.

Change: the interval counts from when the last read was sent. The log says registry_not_read instead of an age at a take-over.

A leader that is late all the time still holds starts; it steps aside for an abler host if there is one.

--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -4,6 +4,7 @@
 #include "page_timeout.h"
 #include "read_pacing.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fulmarworks::node {
@@ -193,7 +194,10 @@
             return;
         }
         pausing = true;
-        run_after(loop, options.pause_ms, [pause = ++pauses](impl& i) {
+        // Counted from when the last read was sent, so that slow reads don't make the view older.
+        const time_ms elapsed = boottime_now() - confirmed_at;
+        const time_ms pause_ms = std::max<time_ms>(0, options.pause_ms - elapsed);
+        run_after(loop, pause_ms, [pause = ++pauses](impl& i) {
             if (i.pausing && i.pauses == pause) {
                 i.read_now();
             }
--- a/libs/node/src/topic_follower.h
+++ b/libs/node/src/topic_follower.h
@@ -15,7 +15,7 @@
     std::uint32_t partition = 0;
     /** Time that a read waits at the store for a new record. */
     time_ms wait_ms = 700;
-    /** Delay between reads; the polling interval if `wait_ms` is 0. */
+    /** Interval between reads, from when each is sent; the polling interval if `wait_ms` is 0. */
     time_ms pause_ms = 0;
     /** Limits the pages of the snapshot that are read at once; null for no limit. */
     std::shared_ptr<read_limiter> limiter;
--- a/libs/scheduler/src/start_permission.cpp
+++ b/libs/scheduler/src/start_permission.cpp
@@ -32,10 +32,12 @@
 
 void hold_starts(reduce_context& ctx) {
     if (!std::exchange(ctx.state.starts_held, true)) {
+        const bool read = ctx.state.registry_confirmed_at_ms.has_value();
         log_decision(ctx, "starts_held",
-                     "reason=registry_view_late age_ms=" +
-                         std::to_string(view_age_ms(ctx.state, ctx.now.monotonic_ms)) +
-                         " limit_ms=" + std::to_string(longest_view_age(ctx.state.limits)));
+                     read ? "reason=registry_view_late age_ms=" +
+                                std::to_string(view_age_ms(ctx.state, ctx.now.monotonic_ms)) +
+                                " limit_ms=" + std::to_string(longest_view_age(ctx.state.limits))
+                          : "reason=registry_not_read");
     }
 }
 
