Starts: at most one order for a run is under way

Cause of the rest: the limit is a quarter of the drain bound, 0.5 to 1 s, but a start without an answer was repeated after 0.4 s. So two orders for one run could be under way; one was carried out and its run ended, and the other reached the worker's next incarnation, which remembers nothing. A withdrawn run likewise: its stop bars it only in the incarnation that confirmed the stop.

Now a start is repeated, and a run that was stopped before it began is released, only after no host sends the earlier order any more, or once that order was answered. Answers name the limit of their order, so that a late one isn't taken for the answer to the next. Ruled out: the expected instance in the header, which names the id and not the incarnation, and a shorter limit, under which a leader that is late by its own load would send nothing.

The time between the last check and the write is closed for connections to the earlier incarnation only.

--- a/libs/node/src/start_sender.cpp
+++ b/libs/node/src/start_sender.cpp
@@ -115,7 +115,7 @@
 
     static void answer(const held_start& start, bool accepted, scheduler::order_failure failure) {
         const auto& order = start.order;
-        start.done({order.where.id, order.task, order.run, accepted, failure});
+        start.done({order.where.id, order.task, order.run, accepted, failure, order.send_until_ms});
     }
 
     void batch_answered(const std::string& address, const held_batch& batch,
--- a/libs/scheduler/include/scheduler/event.h
+++ b/libs/scheduler/include/scheduler/event.h
@@ -81,6 +81,8 @@
     std::uint32_t run = 0;
     bool accepted = false;
     order_failure failure = order_failure::no_answer;
+    /** `send_start::send_until_ms` of the order, which tells repeated orders apart. */
+    time_ms send_until_ms = 0;
 };
 
 struct stop_answered {
--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -88,6 +88,9 @@
      * may not list it.
      */
     time_ms confirmed_at_ms = 0;
+    /** Monotonic time after which no host sends the latest order to start the run; 0 once the
+     * worker has answered it. */
+    time_ms start_sent_until_ms = 0;
     /** Time on the worker's clock after which no start of this run can take effect. */
     time_ms start_expires_at_worker_ms = 0;
     /** Monotonic time at which the worker confirmed a stop of this run; 0 if it has not. */
--- a/libs/scheduler/src/current_run.cpp
+++ b/libs/scheduler/src/current_run.cpp
@@ -9,6 +9,10 @@
            ref.item->where == w.report.incarnation;
 }
 
+bool may_still_be_sent(const task& t, time_ms now_ms) {
+    return now_ms <= t.start_sent_until_ms;
+}
+
 void confirm_run(const task_ref& ref, time_ms now_ms) {
     task& t = *ref.item;
     // Not stored by itself: a new leader confirms the run again, from its worker's list.
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -141,6 +141,7 @@
     t.percent = 0;
     t.order_attempts = 0;
     t.stop_confirmed_at_ms = 0;
+    t.start_sent_until_ms = 0;
     t.start_expires_at_worker_ms = 0;
     t.confirmed_at_ms = 0;
     t.measured_from_ms = 0;
@@ -170,10 +171,10 @@
     ++t.order_attempts;
     const time_ms deadline = worker_clock(w, ctx.now.monotonic_ms) + start_validity_ms;
     t.start_expires_at_worker_ms = std::max(t.start_expires_at_worker_ms, deadline);
+    t.start_sent_until_ms = ctx.now.monotonic_ms + start_sending_limit(ctx.state.limits);
     grant_lease(w, deadline);
     ctx.out.emplace_back(send_start{t.where, w.report.address, id, t.run, ref.owner->spec.payload,
-                                    t.checkpoint, deadline,
-                                    ctx.now.monotonic_ms + start_sending_limit(ctx.state.limits)});
+                                    t.checkpoint, deadline, t.start_sent_until_ms});
 }
 
 void release_placed_tasks(reduce_context& ctx, worker& w, std::string_view reason) {
--- a/libs/scheduler/src/order_answers.cpp
+++ b/libs/scheduler/src/order_answers.cpp
@@ -12,6 +12,11 @@
  */
 constexpr time_ms refusal_quarantine_ms = 500;
 
+/** Returns whether no host holds the order any more: the worker refused it, or it was given up. */
+bool is_settled(order_failure failure) {
+    return failure != order_failure::no_answer && failure != order_failure::other_incarnation;
+}
+
 } // namespace
 
 void apply_start_answer(reduce_context& ctx, const start_answered& answer) {
@@ -27,6 +32,9 @@
         return;
     }
     const bool sole_order = t.order_attempts <= 1;
+    if (answer.send_until_ms == t.start_sent_until_ms && is_settled(answer.failure)) {
+        t.start_sent_until_ms = 0;
+    }
     switch (answer.failure) {
     case order_failure::fenced: ctx.out.emplace_back(leadership_lost{}); return;
     case order_failure::expired:
--- a/libs/scheduler/src/run_lists.cpp
+++ b/libs/scheduler/src/run_lists.cpp
@@ -85,7 +85,8 @@
         }
         return;
     case task_phase::stopping:
-        if (t.stop_confirmed_at_ms != 0 && answer.sent_at_ms > t.stop_confirmed_at_ms) {
+        if (t.stop_confirmed_at_ms != 0 && answer.sent_at_ms > t.stop_confirmed_at_ms &&
+            !may_still_be_sent(t, ctx.now.monotonic_ms)) {
             release_task(ctx, id, ref, "never_started");
         } else if (after_order && answer.status.clock_ms > t.start_expires_at_worker_ms) {
             release_task(ctx, id, ref, "start_expired");
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -1,3 +1,4 @@
+#include "current_run.h"
 #include "lease.h"
 #include "overbooking.h"
 #include "run_supervision.h"
@@ -122,6 +123,9 @@
     if (t.phase == task_phase::stopping && t.stop_confirmed_at_ms != 0) {
         return now_ms - t.ordered_at_ms >= limits.stop_timeout_ms + confirmed_stop_margin_ms;
     }
+    if (t.phase == task_phase::ordered && may_still_be_sent(t, now_ms)) {
+        return false;
+    }
     return (t.phase == task_phase::stopping || t.phase == task_phase::ordered) &&
            now_ms - t.ordered_at_ms >= order_resend_interval_ms;
 }
