Polls: no end is acknowledged to a worker that may have started again unnoticed

A poll acknowledges ends by their numbers, which a worker counts anew after a restart. After polls without an answer the leader repeated the number of the life that it knew, so a worker that had started again, had taken a start and ended its run would drop that end unread, and the leader would start the task again though the end had been acknowledged (TWICE).

Now a poll acknowledges nothing unless the last poll was answered; the next one does.

With it test_scheduler passes.

--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -80,6 +80,9 @@
     // The lease of a worker that does not answer is not extended, so that its work can move to
     // other workers.
     const bool renew = busy && w.clock_reference_ms != 0 && w.failed_polls == 0;
+    // A worker that has started again since its last answer would drop ends of its own, as it
+    // counts them anew.
+    const bool same_incarnation = w.verified && w.failed_polls == 0 && w.unheard_polls == 0;
     time_ms lease_end = 0;
     if (renew) {
         lease_end = worker_clock(w, now) + granted_lease(ctx.state.limits);
@@ -89,7 +92,7 @@
     w.poll_sent_at_ms = now;
     w.poll_wait_ms = w.unheard_polls > 0 ? 0 : poll_wait(ctx, w);
     ctx.out.emplace_back(send_poll{w.report.incarnation, w.report.address, lease_end,
-                                   w.stored_sequence, w.poll_wait_ms});
+                                   same_incarnation ? w.stored_sequence : 0, w.poll_wait_ms});
 }
 
 time_ms idle_interval_ms(std::size_t workers) {
--- a/libs/scheduler/tests/late_order_test.cpp
+++ b/libs/scheduler/tests/late_order_test.cpp
@@ -71,4 +71,28 @@
     CHECK(f.first_task("a").run == 2);
 }
 
+// Guards against ends that a worker drops unread, so that their tasks run again: it counts its ends
+// anew after a restart, and takes a poll of the time before for an acknowledgement of the first
+// ones.
+TEST_CASE("a poll acknowledges no ends while the worker may have started again unnoticed") {
+    open_order f;
+    f.accept_start(*f.order);
+    f.answer_poll("w1", {}, {{1, f.order->task, 1, end_reason::done, ""}});
+    f.pending_effects.clear();
+    f.send(job_submitted{coordinator_fixture::make_job("b", 1, {1000, 1000, 1})});
+    REQUIRE(f.take<send_start>());
+    f.advance(500);
+    REQUIRE(f.take<send_poll>().value().stored_sequence == 1);
+    f.send(poll_failed{"w1", order_failure::no_answer});
+    f.advance(500);
+    auto poll = f.take<send_poll>();
+    REQUIRE(poll);
+    CHECK(poll->stored_sequence == 0);
+    f.answer_poll("w1", {{{"b", 0, 0, 0}, 1, "", 0}});
+    f.advance(500);
+    poll = f.take<send_poll>();
+    REQUIRE(poll);
+    CHECK(poll->stored_sequence == 1);
+}
+
 } // namespace fulmarworks::scheduler
