Worker lists: an end that can't be read doesn't hold up its task for good

Now the number of such an end is taken from its row and acknowledged like the others, if it is at most 500 ahead of the last one that was applied. The next complete list shows the run to be over, and the task runs again. Weighed: leaving the row unacknowledged for some time changes nothing, as nothing more becomes known; ending the worker's lease would take its other runs along.

--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -57,6 +57,8 @@
     bool incomplete = false;
     /** Number of rows that could not be read. */
     std::size_t unreadable_rows = 0;
+    /** Highest sequence number of an ended run of which nothing else could be read; 0 if none. */
+    std::uint64_t last_unreadable_end = 0;
 };
 
 /** A run that a worker lists but that matches no current assignment. It still occupies capacity. */
--- a/libs/scheduler/src/run_lists.cpp
+++ b/libs/scheduler/src/run_lists.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+/** Maximum distance of an unreadable end's sequence number from the last one that was applied. One
+ * that is further ahead can't be trusted either. */
+constexpr std::uint64_t max_sequence_gap = 500;
+
 void update_progress(reduce_context& ctx, const active_run& run, const task_ref& ref) {
     task& t = *ref.item;
     if (t.percent != run.percent) {
@@ -98,8 +102,8 @@
 
 } // namespace
 
-void apply_ends(reduce_context& ctx, worker& w, const std::vector<ended_run>& ends) {
-    for (const auto& end : ends) {
+void apply_ends(reduce_context& ctx, worker& w, const worker_status& status) {
+    for (const auto& end : status.ended) {
         if (end.sequence <= w.applied_sequence) {
             continue;
         }
@@ -115,6 +119,11 @@
         ctx.state.plan_needed = true;
         ctx.state.capacities.mark_stale(w.report.incarnation.id);
     }
+    // Unless the worker drops it, its lists stay incomplete, and whatever run this was never ends.
+    const std::uint64_t unreadable = status.last_unreadable_end;
+    if (unreadable > w.applied_sequence && unreadable - w.applied_sequence <= max_sequence_gap) {
+        w.applied_sequence = unreadable;
+    }
     if (w.applied_sequence > w.stored_sequence) {
         ctx.state.actions_after_next_batch.emplace_back(
             deferred_acknowledgement{w.report.incarnation, w.applied_sequence});
--- a/libs/scheduler/src/run_lists.h
+++ b/libs/scheduler/src/run_lists.h
@@ -5,7 +5,7 @@
 namespace fulmarworks::scheduler {
 
 /** Applies the ended runs that a worker lists and schedules their confirmation. */
-void apply_ends(reduce_context& ctx, worker& w, const std::vector<ended_run>& ends);
+void apply_ends(reduce_context& ctx, worker& w, const worker_status& status);
 
 /** Reconciles the assignments of a worker with the active runs that it lists. Call it after
  * `apply_ends`. */
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -190,7 +190,7 @@
                      "worker=" + answer.worker +
                          " rows=" + std::to_string(answer.status.unreadable_rows));
     }
-    apply_ends(ctx, w, answer.status.ended);
+    apply_ends(ctx, w, answer.status);
     reconcile_runs(ctx, w, answer);
     send_allowed_starts(ctx, w);
 }
--- a/libs/scheduler/tests/incomplete_list_test.cpp
+++ b/libs/scheduler/tests/incomplete_list_test.cpp
@@ -97,4 +97,32 @@
     CHECK(f.state.jobs.at("a")->visible_state == job_state::completed);
 }
 
+// Guards against a task that waits for good for the end of a run whose row can't be read: as the
+// last one it was never acknowledged, so each list of the worker was incomplete.
+TEST_CASE("a run whose end can't be read doesn't hold up its task for good") {
+    coordinator_fixture f;
+    f.add_worker("w1");
+    const auto order = f.run_job(coordinator_fixture::make_job("a", 1, {1000, 1000, 1}));
+    REQUIRE(order);
+    const std::uint64_t sequence = GENERATE(1U, 4'000'000'000U);
+    std::uint64_t acknowledged = 0;
+    for (int i = 0; i < 10; ++i) {
+        f.advance(500);
+        for (const auto& poll : f.take_all<send_poll>()) {
+            acknowledged = poll.stored_sequence;
+            worker_status status;
+            status.started_wall_ms = 1;
+            status.clock_ms = f.now.monotonic_ms;
+            status.incomplete = acknowledged < sequence;
+            status.unreadable_rows = status.incomplete ? 1 : 0;
+            status.last_unreadable_end = status.incomplete ? sequence : 0;
+            f.send(poll_answered{"w1", f.now.monotonic_ms, status});
+        }
+    }
+    // A number that can't be true would acknowledge ends that are still to come.
+    const bool plausible = sequence == 1;
+    CHECK(acknowledged == (plausible ? 1 : 0));
+    CHECK(f.first_task("a").run == (plausible ? 2 : 1));
+}
+
 } // namespace fulmarworks::scheduler
