Store: an empty page with more to come doesn't end a read

A read of the newest records ended with a page that is empty though more follow. A new leader that met one would have taken jobs for never begun and run their tasks again (TWICE), and workers for gone.

Now such a page counts as a failed read and is read again, by followers of topics and by the loader of progress. Learned run times are left as they are, as they decide nothing that must be complete.

--- a/libs/node/src/job_loader.cpp
+++ b/libs/node/src/job_loader.cpp
@@ -102,7 +102,7 @@
     }
 
     void page_loaded(const platform::newest_outcome& page, const std::string& after) {
-        if (page.status != platform::store_status::ok) {
+        if (page.status != platform::store_status::ok || platform::is_empty_part(page)) {
             timeout.failed();
             run_after(context.loop, retry_delay_ms, [after](impl& i) { i.load_page(after); });
             return;
--- a/libs/node/src/topic_follower.cpp
+++ b/libs/node/src/topic_follower.cpp
@@ -74,7 +74,7 @@
                 if (i.options.limiter) {
                     i.options.limiter->finished();
                 }
-                if (page.status != platform::store_status::ok) {
+                if (page.status != platform::store_status::ok || platform::is_empty_part(page)) {
                     i.timeout.failed();
                     i.notify_read(false);
                     // The pages that were read stay valid: whatever changed since the
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -40,7 +40,7 @@
     /** Refuses all calls for one topic; an empty name ends this. */
     void refuse_topic(const std::string& topic) { refused_topic_ = topic; }
 
-    /** Limits the pages of /log-newest; at least 1. */
+    /** Limits the pages of /log-newest. With 0 they are empty, and tell that more follow. */
     void set_page_items(std::size_t items) { max_page_items_ = items; }
 
     /** Returns the newest value of a key, or nullopt if the key was deleted or never written. */
--- a/tests/soak/topic_follower_test.cpp
+++ b/tests/soak/topic_follower_test.cpp
@@ -141,6 +141,16 @@
     CHECK(f.run_until([&] { return f.caught_up(); }));
 }
 
+// A read of pages ended with an empty one: keys that were still to come counted as deleted.
+TEST_CASE("a snapshot doesn't end with an empty page that tells of more") {
+    follower_fixture f;
+    f.write(1);
+    f.store.set_page_items(0);
+    f.loop.after(400, [&f] { f.store.set_page_items(1); });
+    f.follow(650, 0);
+    CHECK(f.failed_reads > 0);
+}
+
 namespace {
 
 std::string job_id(int number) {
@@ -178,3 +188,26 @@
     CHECK(found->orphaned_progress.empty());
     CHECK(found->jobs.size() == job_count);
 }
+
+// Jobs whose stored progress was still to come ran again from their beginning.
+TEST_CASE("a new leader reads all progress although a page of it is empty") {
+    follower_fixture f;
+    scheduler::job_spec spec;
+    spec.policy.pool = "pool";
+    spec.steps.emplace_back();
+    f.store.put("keyed.submissions", job_id(1), scheduler::encode_job_spec(spec));
+    f.store.put("keyed.progress", job_id(1), "progress");
+    std::optional<loaded_jobs> found;
+    decision_log log{"host"};
+    job_loader loader({f.loop, f.client, log, std::make_shared<read_limiter>(2),
+                       [&](loaded_jobs jobs) { found = std::move(jobs); },
+                       [](const scheduler::job_spec&) {}});
+    constexpr time_ms submissions_read_ms = 300;
+    f.loop.run_until([] { return false; }, submissions_read_ms);
+    f.store.set_page_items(0);
+    f.loop.after(submissions_read_ms, [&f] { f.store.set_page_items(1); });
+    loader.load_progress();
+    REQUIRE(f.loop.run_until([&] { return found.has_value(); }, wait_limit_ms));
+    REQUIRE(found->jobs.size() == 1);
+    CHECK(found->jobs[0].progress == "progress");
+}
