Starts of a batch are sent once for each worker

Found with jobs of 20,000 tasks, the most that are accepted.

Cause: for each task that may start, all runs of its worker were copied and looked at, and for each order that is repeated they were added up. 20,000 small tasks fit on one worker, so that is 200 million steps; the next leader finds the tasks assigned to a worker that doesn't list them, places them and does the same. The number of a gang's next run was searched once for each member.

Now each of these is done once for a worker or a gang. Ruled out: a lower limit for the tasks of a job, as jobs that are accepted today would be refused.

--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -81,12 +81,13 @@
     ctx.state.plan_needed = true;
 }
 
-void execute(reduce_context& ctx, const deferred_action& action) {
+/** Executes an action. Adds the workers on which tasks may start now to `starting`. */
+void execute(reduce_context& ctx, const deferred_action& action, std::set<std::string>& starting) {
     if (const auto* start = std::get_if<deferred_start>(&action)) {
         const task_ref ref = find_task(ctx.state, start->task);
         if (ref && ref.item->phase == task_phase::placed && ref.item->run == start->run) {
             ref.item->start_allowed = true;
-            send_allowed_starts(ctx, ctx.state.workers.at(ref.item->where.id));
+            starting.insert(ref.item->where.id);
         }
     } else if (const auto* ack = std::get_if<deferred_acknowledgement>(&action)) {
         worker* w = find_worker(ctx.state, ack->where.id);
@@ -106,8 +107,15 @@
 void apply_records_stored(reduce_context& ctx) {
     ctx.state.batch_open = false;
     const auto actions = std::exchange(ctx.state.actions_after_open_batch, {});
+    std::set<std::string> starting;
     for (const auto& action : actions) {
-        execute(ctx, action);
+        execute(ctx, action, starting);
+    }
+    // Once for each worker, as the time is linear in the worker's assignments.
+    for (const auto& id : starting) {
+        if (worker* w = find_worker(ctx.state, id)) {
+            send_allowed_starts(ctx, *w);
+        }
     }
 }
 
@@ -137,13 +145,9 @@
     ctx.out.emplace_back(std::move(batch));
 }
 
-std::uint32_t next_run(coordinator_state& state, const task_id& id) {
-    const task_ref ref = find_task(state, id);
-    if (!ref.spec->gang) {
-        return ref.item->run + 1;
-    }
+std::uint32_t next_gang_run(const step_progress& progress) {
     std::uint32_t highest = 0;
-    for (const auto& member : ref.progress->tasks) {
+    for (const auto& member : progress.tasks) {
         highest = std::max(highest, member.run);
     }
     return highest + 1;
@@ -158,12 +162,16 @@
     std::map<std::pair<std::string, std::pair<std::uint32_t, std::uint32_t>>, std::uint32_t> runs;
     for (const auto& p : decided.placements) {
         const task_ref ref = find_task(ctx.state, p.task);
-        std::uint32_t run = next_run(ctx.state, p.task);
-        if (ref.spec->gang) {
-            const auto key = std::pair(p.task.job, std::pair(p.task.occurrence, p.task.step));
-            run = runs.try_emplace(key, run).first->second;
+        if (!ref.spec->gang) {
+            assign_task(ctx, p.task, p.where, ref.item->run + 1);
+            continue;
+        }
+        const auto key = std::pair(p.task.job, std::pair(p.task.occurrence, p.task.step));
+        auto known = runs.find(key);
+        if (known == runs.end()) {
+            known = runs.emplace(key, next_gang_run(*ref.progress)).first;
         }
-        assign_task(ctx, p.task, p.where, run);
+        assign_task(ctx, p.task, p.where, known->second);
     }
     for (const auto& p : decided.preemptions) {
         const task_ref ref = find_task(ctx.state, p.victim);
--- a/libs/scheduler/src/worker_maintenance.cpp
+++ b/libs/scheduler/src/worker_maintenance.cpp
@@ -142,13 +142,16 @@
             unanswered.push_back(id);
         }
     }
+    if (unanswered.empty()) {
+        return;
+    }
+    const bool may_start = w.failed_polls == 0 && takes_starts(ctx.state, w) &&
+                           has_current_view(ctx.state, now) && !is_overbooked(ctx.state, w);
     for (const auto& id : unanswered) {
         const task_ref ref = find_task(ctx.state, id);
         if (ref.item->phase == task_phase::stopping) {
             stop_task(ctx, id, ref, "repeat");
-        } else if (w.failed_polls == 0 && takes_starts(ctx.state, w) &&
-                   has_current_view(ctx.state, now) &&
-                   ref.item->order_attempts < max_start_attempts && !is_overbooked(ctx.state, w)) {
+        } else if (may_start && ref.item->order_attempts < max_start_attempts) {
             order_start(ctx, id, ref);
         }
     }
