Planner: a plan doesn't search again for what it has found no capacity for

Cause: only shapes without a label, a limit for each worker or a gang were remembered as infeasible, so each of 20,000 occurrences that need a label nobody has searched all workers, twice and for runs to stop if urgent. Each step with a limit for each worker also looked at all placements of the plan, and each task that may have crashed its worker made the request of its step anew.

Now infeasible_shapes keeps what failed by kind of search, pool, label, limit and number of tasks, and answers for as much or more; a step's request is made once. Requests with siblings, failures or isolation are searched for as before and don't count for others. Ruled out: planning only the first steps of each job, as later ones that fit would wait behind them for good.

--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -3,6 +3,7 @@
 #include "capacity.h"
 #include "gang_reservation.h"
 #include "group_placement.h"
+#include "infeasible_shapes.h"
 #include "lookup.h"
 #include "speed_preference.h"
 #include "suspect_isolation.h"
@@ -44,11 +45,7 @@
     bool mostly_idle = false;
     /** Racks in which only urgent tasks are placed. */
     std::set<std::string_view> headroom_racks;
-    /**
-     * Pool and resources of tasks that fit on no worker; free capacity only shrinks during a
-     * plan.
-     */
-    std::vector<std::pair<std::string, resources>> infeasible_shapes;
+    infeasible_shapes infeasible;
     plan result;
 
     [[nodiscard]] capacity_index& capacities() const { return state.capacities; }
@@ -73,21 +70,18 @@
             request.excluded_workers.insert(t.failed_on);
         }
     }
-    if (limits_tasks_per_worker(request)) {
-        for (const auto& planned : p.result.placements) {
-            if (planned.task.job == group.owner->spec.id &&
-                planned.task.occurrence == group.parent->number &&
-                planned.task.step == group.step) {
-                ++request.tasks_by_worker[planned.where.id];
-            }
-        }
-    }
+    return request;
+}
+
+/** Sets how strictly the runs of a group, which may be a part of the request's, are kept apart. */
+void set_isolation(const planning_context& p, const task_group& group,
+                   task_group_request& request) {
+    request.required_isolation = isolation::none;
     for (const std::uint32_t index : group.tasks) {
         const task& t = group.parent->steps[group.step].tasks[index];
         request.required_isolation =
             std::max(request.required_isolation, required_isolation(t, p.now_ms));
     }
-    return request;
 }
 
 /** Returns whether the group should still wait for its preferred rack. */
@@ -128,14 +122,28 @@
 std::optional<std::vector<worker_index>> place_gang(planning_context& p, const task_group& group,
                                                     task_group_request& request,
                                                     capacity_kind kind) {
+    const std::size_t count = group.tasks.size();
+    const bool of_stops = kind == capacity_kind::free_after_stops;
+    const auto in_rack =
+        of_stops ? capacity_search::gang_in_rack_after_stops : capacity_search::gang_in_rack;
+    const auto anywhere =
+        of_stops ? capacity_search::whole_gang_after_stops : capacity_search::whole_gang;
+    if (p.infeasible.contains(anywhere, request, count)) {
+        return std::nullopt;
+    }
     const auto racks = preferred_racks(p.capacities(), group);
     const auto speeds = gang_speeds(p.state, group.owner->spec.policy.priority);
     std::optional<std::vector<worker_index>> chosen;
-    for (auto it = speeds.begin(); it != speeds.end() && !racks.empty() && !chosen; ++it) {
-        request.speeds = *it;
-        const search_scope rack = find_best_rack(p.capacities(), group, racks, request, kind);
-        if (rack != all_racks) {
-            chosen = book_whole_group(p.capacities(), group, rack, request, kind);
+    if (!racks.empty() && !p.infeasible.contains(in_rack, request, count)) {
+        for (auto it = speeds.begin(); it != speeds.end() && !chosen; ++it) {
+            request.speeds = *it;
+            const search_scope rack = find_best_rack(p.capacities(), group, racks, request, kind);
+            if (rack != all_racks) {
+                chosen = book_whole_group(p.capacities(), group, rack, request, kind);
+            }
+        }
+        if (!chosen && group.spec().data_rack.empty()) {
+            p.infeasible.add(in_rack, request, count);
         }
     }
     if (!chosen && may_run_anywhere(p, group, !racks.empty())) {
@@ -143,6 +151,9 @@
             request.speeds = *it;
             chosen = book_whole_group(p.capacities(), group, all_racks, request, kind);
         }
+        if (!chosen) {
+            p.infeasible.add(anywhere, request, count);
+        }
     }
     request.speeds = all_speeds;
     return chosen;
@@ -175,10 +186,23 @@
  * Stops runs to free capacity for an urgent group, in the preferred rack where that costs least.
  */
 void preempt(planning_context& p, const task_group& group, const task_group_request& request) {
+    constexpr auto search = capacity_search::preemption;
+    if (p.infeasible.contains(search, request, group.tasks.size())) {
+        return;
+    }
     const auto racks = preferred_racks(p.capacities(), group);
-    auto selection = find_cheapest_selection(p, group, racks, request);
+    std::optional<victim_selection> selection;
+    if (!p.infeasible.contains(capacity_search::preemption_in_rack, request, group.tasks.size())) {
+        selection = find_cheapest_selection(p, group, racks, request);
+        if (!selection && !racks.empty() && group.spec().data_rack.empty()) {
+            p.infeasible.add(capacity_search::preemption_in_rack, request, group.tasks.size());
+        }
+    }
     if (!selection && may_run_anywhere(p, group, !racks.empty())) {
         selection = select_victims(p.state, all_racks, p.victims, group, request);
+        if (!selection) {
+            p.infeasible.add(search, request, group.tasks.size());
+        }
     }
     if (!selection) {
         return;
@@ -194,6 +218,7 @@
 
 void plan_gang(planning_context& p, const task_group& group) {
     task_group_request request = make_request(p, group);
+    set_isolation(p, group, request);
     bool waiting = false;
     if (!group.parent->steps[group.step].reserved_on.empty()) {
         if (const auto chosen = claim_reservation(p.state, group, request, p.now_ms, waiting)) {
@@ -218,26 +243,6 @@
     }
 }
 
-/** Returns whether the resources of the group's tasks are known not to fit on any worker now. */
-bool is_infeasible(const planning_context& p, const task_group& group) {
-    const resources need = booked_resources(group.spec());
-    return std::any_of(
-        p.infeasible_shapes.begin(), p.infeasible_shapes.end(), [&](const auto& known) {
-            return known.first == group.owner->spec.policy.pool && fits(known.second, need);
-        });
-}
-
-void record_infeasible_shape(planning_context& p, const task_group& group,
-                             const task_group_request& request) {
-    const bool restricted = !request.spec->required_label.empty() ||
-                            !request.excluded_workers.empty() || limits_tasks_per_worker(request) ||
-                            request.required_isolation != isolation::none;
-    if (!restricted) {
-        p.infeasible_shapes.emplace_back(group.owner->spec.policy.pool,
-                                         booked_resources(group.spec()));
-    }
-}
-
 /** Places the tasks that fit now and removes them from the group. */
 void place_tasks(planning_context& p, task_group& group, task_group_request& request) {
     const auto add_chosen = [&](std::span<const worker_index> chosen) {
@@ -268,32 +273,31 @@
     if (!group.tasks.empty() && may_run_anywhere(p, group, !racks.empty())) {
         place_in_scope(all_racks);
         if (!group.tasks.empty()) {
-            record_infeasible_shape(p, group, request);
+            p.infeasible.add(capacity_search::single_task, request, 1);
         }
     }
 }
 
-/** Plans tasks that have the same requirements. */
-void plan_uniform_tasks(planning_context& p, task_group group) {
-    const bool urgent = group.owner->spec.policy.priority == 0;
-    const bool infeasible = is_infeasible(p, group);
-    if (infeasible && !urgent) {
-        return;
-    }
-    task_group_request request = make_request(p, group);
-    if (!infeasible) {
+/** Plans tasks that have the same requirements. The request is that of their step. */
+void plan_uniform_tasks(planning_context& p, task_group group, task_group_request& request) {
+    set_isolation(p, group, request);
+    if (!p.infeasible.contains(capacity_search::single_task, request, 1)) {
         place_tasks(p, group, request);
     }
-    if (!urgent || group.tasks.empty()) {
+    if (group.owner->spec.policy.priority != 0 || group.tasks.empty()) {
         return;
     }
-    const auto chosen = book_best_fit(p.capacities(), all_racks, request, group.tasks.size(),
-                                      capacity_kind::free_after_stops);
-    if (chosen.size() < group.tasks.size()) {
+    if (!p.infeasible.contains(capacity_search::single_task_after_stops, request, 1)) {
+        const auto chosen = book_best_fit(p.capacities(), all_racks, request, group.tasks.size(),
+                                          capacity_kind::free_after_stops);
+        if (chosen.size() == group.tasks.size()) {
+            return;
+        }
         group.tasks.erase(group.tasks.begin(),
                           group.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
-        preempt(p, group, request);
+        p.infeasible.add(capacity_search::single_task_after_stops, request, 1);
     }
+    preempt(p, group, request);
 }
 
 /** Plans the tasks of a step. Each suspect is planned alone, because its runs are isolated. */
@@ -306,12 +310,13 @@
                               [&](std::uint32_t index) { return !is_suspect_task(index); });
     const std::vector<std::uint32_t> suspects(first_suspect, group.tasks.end());
     group.tasks.erase(first_suspect, group.tasks.end());
+    task_group_request request = make_request(p, group);
     if (!group.tasks.empty()) {
-        plan_uniform_tasks(p, group);
+        plan_uniform_tasks(p, group, request);
     }
     for (const std::uint32_t index : suspects) {
         group.tasks = {index};
-        plan_uniform_tasks(p, group);
+        plan_uniform_tasks(p, group, request);
     }
 }
 
@@ -320,8 +325,8 @@
 plan make_plan(coordinator_state& state, plan_scope scope, time_ms now_ms) {
     constexpr int urgent_priority = 0;
     planning_context p{
-        state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.capacities), {},
-        {},    {}};
+        state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.capacities), {}, {},
+        {}};
     p.headroom_racks = choose_headroom_racks(
         state.capacities, headroom_accelerators(state.recent_urgent_jobs, state.limits,
                                                 state.capacities.all_accelerators(), now_ms));
--- a/libs/scheduler/src/worker_loss.cpp
+++ b/libs/scheduler/src/worker_loss.cpp
@@ -144,8 +144,8 @@
         if (!ref || ref.owner->ended()) {
             continue;
         }
-        const bool cause = std::find(attribution.causes.begin(), attribution.causes.end(), i) !=
-                           attribution.causes.end();
+        const bool cause =
+            std::binary_search(attribution.causes.begin(), attribution.causes.end(), i);
         loss_count& losses = ref.item->losses;
         ++losses.crashes;
         losses.start_crashes += cause ? 1 : 0;
