Gangs: members that weren't started are released in one pass

Each placed member that was released released the rest in turn, one within the other, so a gang of 20,000 whose worker drains before its start is sent overflowed the stack of the leader.

Now the members are released where the gang is stopped, without a call for each within the last.

--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -66,7 +66,23 @@
     }
 }
 
-/** Stops the other members of a gang that lost one, because the run can't complete. */
+/** Releases one task, whatever becomes of the other members of its gang. */
+void release_alone(reduce_context& ctx, const task_id& id, const task_ref& ref,
+                   std::string_view reason) {
+    log_decision(ctx, "task_released",
+                 describe_task(id, ref.item->run) + " worker=" + ref.item->where.id +
+                     " reason=" + std::string(reason));
+    ++ref.owner->effort.releases;
+    release_capacity(ctx, id, *ref.item);
+    leave_run(ctx, ref);
+    mark_changed(ctx, *ref.owner);
+}
+
+/**
+ * Stops the other members of a gang that lost one, because the run can't complete. Members that
+ * weren't started are released here: through `release_task`, each would stop the rest in turn, as
+ * deep as the gang is large.
+ */
 void stop_rest_of_gang(reduce_context& ctx, const task_id& id, const task_ref& ref) {
     if (!ref.spec->gang) {
         return;
@@ -78,8 +94,12 @@
         }
         task_id other = id;
         other.index = i;
-        stop_task(ctx, other, {ref.owner, ref.parent, ref.progress, ref.spec, &member},
-                  "gang_member_lost");
+        const task_ref member_ref{ref.owner, ref.parent, ref.progress, ref.spec, &member};
+        if (member.phase == task_phase::placed) {
+            release_alone(ctx, other, member_ref, "gang_member_lost");
+        } else {
+            stop_task(ctx, other, member_ref, "gang_member_lost");
+        }
     }
 }
 
@@ -248,13 +268,7 @@
 }
 
 void release_task(reduce_context& ctx, const task_id& id, task_ref ref, std::string_view reason) {
-    log_decision(ctx, "task_released",
-                 describe_task(id, ref.item->run) + " worker=" + ref.item->where.id +
-                     " reason=" + std::string(reason));
-    ++ref.owner->effort.releases;
-    release_capacity(ctx, id, *ref.item);
-    leave_run(ctx, ref);
-    mark_changed(ctx, *ref.owner);
+    release_alone(ctx, id, ref, reason);
     stop_rest_of_gang(ctx, id, ref);
     end_job_if_final(ctx, *ref.owner);
 }
