Progress: stored in parts, and within the size of a record

The store refuses a record of more than 262,144 bytes and a call of more than 2 MB, and the leader repeated a refused batch for ever, as does each next leader; every job waits behind it.

Cause: all changes went into one append, and the progress of a job of 20,000 tasks with checkpoints is a record of 440,044 bytes.

Now a batch is split into appends of 1 MB at most, each with its own sequence number; what waits for the batch happens once all are stored, so a deposed writer leaves whole records of some jobs. Progress of more than 250,000 bytes is stored without checkpoints: the tasks begin anew if they have to be repeated after a change of the leader. Weighed: a record for each part of a job needs a pass over all at recovery.

--- a/libs/node/src/progress_writer.h
+++ b/libs/node/src/progress_writer.h
@@ -28,8 +28,10 @@
 };
 
 /**
- * Writes the progress of jobs, one batch at a time. A batch without an answer is retried with the
- * same sequence number, by which the store detects duplicates. Not thread safe.
+ * Writes the progress of jobs, one batch at a time, in as many appends as its size needs. An append
+ * without an answer is retried with the same sequence number, by which the store detects
+ * duplicates. If the writer is deposed, only the first appends may be stored: the batch is atomic
+ * for each job, not as a whole. Not thread safe.
  */
 class progress_writer {
 public:
@@ -40,7 +42,7 @@
     progress_writer(const progress_writer&) = delete;
     progress_writer& operator=(const progress_writer&) = delete;
 
-    /** Stores a batch. Precondition: no batch is pending. */
+    /** Stores a batch. Precondition: no batch is pending, and `batch` isn't empty. */
     void write(std::vector<platform::keyed_record> batch);
 
 private:
--- a/libs/scheduler/include/scheduler/effect.h
+++ b/libs/scheduler/include/scheduler/effect.h
@@ -16,7 +16,8 @@
 };
 
 /**
- * Stores all records atomically; answered by `records_stored`. At most one batch is open at a time.
+ * Stores all records, each of them atomically; answered by `records_stored` once all are stored. At
+ * most one batch is open at a time.
  */
 struct store_records {
     std::vector<progress_record> records;
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -125,7 +125,7 @@
 
 /** Encodes a task as 0 (never placed), 1 (complete) or an array whose last elements are omitted if
  * they have their defaults. */
-json encode_task(const task& t, worker_table& workers) {
+json encode_task(const task& t, worker_table& workers, bool with_checkpoints) {
     const stored_phase phase = stored_phase_of(t);
     if (phase == stored_phase::complete) {
         return 1;
@@ -136,9 +136,10 @@
     const int where = phase == stored_phase::assigned ? workers.index_of(t.where) : no_worker;
     json j = json::array({t.run, where});
     const bool lost = lost_workers(t.losses) > 0;
-    if (t.failures > 0 || !t.checkpoint.empty() || !t.failed_on.empty() || lost) {
+    const std::string checkpoint = with_checkpoints ? t.checkpoint : "";
+    if (t.failures > 0 || !checkpoint.empty() || !t.failed_on.empty() || lost) {
         j.push_back(t.failures);
-        j.push_back(t.checkpoint);
+        j.push_back(checkpoint);
         j.push_back(workers.index_of({t.failed_on, 0}));
     }
     if (lost) {
@@ -195,7 +196,7 @@
     return t;
 }
 
-json encode_occurrence(const occurrence& o, worker_table& workers) {
+json encode_occurrence(const occurrence& o, worker_table& workers, bool with_checkpoints) {
     json steps = json::array();
     for (const auto& s : o.steps) {
         if (s.complete()) {
@@ -204,7 +205,7 @@
         }
         json tasks = json::array();
         for (const auto& t : s.tasks) {
-            tasks.push_back(encode_task(t, workers));
+            tasks.push_back(encode_task(t, workers, with_checkpoints));
         }
         steps.push_back(json::array({s.gang_failures, std::move(tasks)}));
     }
@@ -230,6 +231,17 @@
     }
 }
 
+std::string pack_progress(const job& j, bool with_checkpoints) {
+    json occurrences = json::array();
+    worker_table workers;
+    for (const auto& o : j.occurrences) {
+        occurrences.push_back(o.complete() ? json(1)
+                                           : encode_occurrence(o, workers, with_checkpoints));
+    }
+    return pack(json::array({progress_layout, j.cancel_requested, j.failed, j.started,
+                             std::move(occurrences), workers.take_rows()}));
+}
+
 template <class Decode>
 result<void> decode_or_error(const Decode& decode) {
     try {
@@ -296,13 +308,8 @@
 }
 
 std::string encode_progress(const job& j) {
-    json occurrences = json::array();
-    worker_table workers;
-    for (const auto& o : j.occurrences) {
-        occurrences.push_back(o.complete() ? json(1) : encode_occurrence(o, workers));
-    }
-    return pack(json::array({progress_layout, j.cancel_requested, j.failed, j.started,
-                             std::move(occurrences), workers.take_rows()}));
+    std::string whole = pack_progress(j, true);
+    return whole.size() <= max_progress_bytes ? std::move(whole) : pack_progress(j, false);
 }
 
 result<void> decode_progress(std::string_view data, job& j) {
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t bytes_per_kb = 1024;
 constexpr std::size_t max_kept_answers = 5;
 constexpr std::uint64_t max_body_bytes = 4U << 20U;
+constexpr std::size_t max_append_bytes = 2U << 20U;
+constexpr std::size_t max_record_bytes = 256U << 10U;
 
 // Doesn't use the encoding of platform/, because an error there would cancel out.
 
@@ -50,6 +52,20 @@
     return value;
 }
 
+/** Returns whether the store takes the records of an append. */
+bool has_valid_sizes(std::string_view body) {
+    constexpr std::size_t length_bytes = 4;
+    const bool valid = body.size() <= max_append_bytes;
+    while (valid && body.size() > length_bytes) {
+        const std::uint64_t length = read_big_endian(body.substr(0, length_bytes));
+        if (length > max_record_bytes) {
+            return false;
+        }
+        body.remove_prefix(std::min<std::size_t>(body.size(), length_bytes + length));
+    }
+    return valid;
+}
+
 /** Returns the name under which a partition is kept: the topic for partition 0. */
 std::string log_name(std::string_view query) {
     const std::string topic = query_value(query, "topic");
@@ -188,6 +204,9 @@
     if (!expected.empty() && expected != std::to_string(end)) {
         return reply(412, {{"end", end}});
     }
+    if (!has_valid_sizes(request.body)) {
+        return reply(400, json::object());
+    }
     std::string_view rest = request.body;
     while (rest.size() > 4) {
         const std::uint64_t length = read_big_endian(rest.substr(0, 4));
