Planner: stops of a plan make room for what failed before

Free capacity only shrinks during a plan, but capacity that stops free grows when the plan stops another run, and a run that is stopped may leave more than the job needs for which it is. The next urgent job of the plan would have been refused until the next plan. What failed on such capacity is forgotten at each stop now. Urgent and other work are also kept apart: they may use other racks and speeds.

Evidence: a case of many_steps_test: three urgent jobs share what one stopped run leaves.

--- a/libs/scheduler/src/infeasible_shapes.cpp
+++ b/libs/scheduler/src/infeasible_shapes.cpp
@@ -20,11 +20,11 @@
     if (failed_.empty() || (avoided != nullptr && avoided->contains(request.spec->data_rack))) {
         return false; // the others that failed had to avoid this rack
     }
-    const std::string& pool = request.owner->spec.policy.pool;
+    const queue_policy& policy = request.owner->spec.policy;
     const step_spec& spec = *request.spec;
     const resources need = booked_resources(spec);
     const auto known = [&](const std::string& label, std::uint32_t limit) {
-        return has({search, pool, label, limit}, need, count);
+        return has({search, policy.priority == 0, policy.pool, label, limit}, need, count);
     };
     return known("", 0) || (!spec.required_label.empty() && known(spec.required_label, 0)) ||
            (spec.max_tasks_per_worker != 0 &&
@@ -40,15 +40,27 @@
         request.required_isolation != isolation::none) {
         return;
     }
+    const queue_policy& policy = request.owner->spec.policy;
     const step_spec& spec = *request.spec;
     const shape failed{booked_resources(spec), count};
     // The limit for each worker doesn't matter for a single task.
     const std::uint32_t limit = count <= 1 ? 0 : spec.max_tasks_per_worker;
-    auto& known = failed_[{search, request.owner->spec.policy.pool, spec.required_label, limit}];
+    auto& known = failed_[{search, policy.priority == 0, policy.pool, spec.required_label, limit}];
     std::erase_if(known, [&](const shape& s) {
         return failed.count <= s.count && fits(failed.need, s.need);
     });
     known.push_back(failed);
 }
 
+void infeasible_shapes::forget_stops() {
+    std::erase_if(failed_, [](const auto& entry) {
+        switch (std::get<capacity_search>(entry.first)) {
+        case capacity_search::single_task:
+        case capacity_search::gang_in_rack:
+        case capacity_search::whole_gang: return false;
+        default: return true;
+        }
+    });
+}
+
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/src/infeasible_shapes.h
+++ b/libs/scheduler/src/infeasible_shapes.h
@@ -23,9 +23,9 @@
 };
 
 /**
- * Requests for which a plan has found no capacity. As capacity only shrinks during a plan, it need
- * not look again for as much or more. Otherwise one job with thousands of steps or occurrences that
- * can't be placed would cost a search of all workers for each of them. Not thread safe.
+ * Requests for which a plan has found no capacity. As free capacity only shrinks during a plan, it
+ * need not look again for as much or more. Otherwise one job with thousands of steps or occurrences
+ * that can't be placed would cost a search of all workers for each of them. Not thread safe.
  */
 class infeasible_shapes {
 public:
@@ -39,13 +39,19 @@
      */
     void add(capacity_search search, const task_group_request& request, std::size_t count);
 
+    /** Forgets what failed on capacity that stops free. Call it when the plan stops more runs. */
+    void forget_stops();
+
 private:
     struct shape {
         resources need;
         std::size_t count = 0;
     };
-    /** Search, pool, label (empty for any) and limit for each worker (0 for none). */
-    using key = std::tuple<capacity_search, std::string, std::string, std::uint32_t>;
+    /**
+     * Search, whether the work is urgent (which may use other racks and speeds), pool, label (empty
+     * for any) and limit for each worker (0 for none).
+     */
+    using key = std::tuple<capacity_search, bool, std::string, std::string, std::uint32_t>;
 
     [[nodiscard]] bool has(const key& k, const resources& need, std::size_t count) const;
 
--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -208,6 +208,7 @@
         return;
     }
     commit_selection(p.capacities(), p.victims, *selection);
+    p.infeasible.forget_stops(); // a stopped run may leave more than the group needs
     if (group.spec().gang) {
         reserve_capacity(p.state, group, selection->chosen, p.now_ms);
     }
