Gangs: a run that fails counts as one attempt

Each member of a run that a worker listed as failed counted as an attempt of the gang; two workers that fail all they start used up three attempts with one run.

Now the number of the last run that failed is kept, and stored with the count, so that a new leader that is listed the other members doesn't count the run again. Records of earlier releases are read as before.

--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -106,6 +106,8 @@
     std::vector<run_rate> rates;
     /** Failed runs of the gang as a whole. */
     std::uint32_t gang_failures = 0;
+    /** Number of the last run of the gang that failed; 0 if none did. */
+    std::uint32_t last_failed_gang_run = 0;
     /** Monotonic time at which the step became ready; 0 before that. */
     time_ms ready_at_ms = 0;
     /** Workers on which capacity is being freed for the step's tasks, one entry per task. */
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -207,7 +207,7 @@
         for (const auto& t : s.tasks) {
             tasks.push_back(encode_task(t, workers, with_checkpoints));
         }
-        steps.push_back(json::array({s.gang_failures, std::move(tasks)}));
+        steps.push_back(json::array({s.gang_failures, std::move(tasks), s.last_failed_gang_run}));
     }
     return steps;
 }
@@ -219,6 +219,9 @@
         const json& stored = j.at(i);
         if (!stored.is_number()) {
             read(stored.at(0), s.gang_failures);
+            if (stored.size() > 2) { // missing in records of earlier releases
+                read(stored.at(2), s.last_failed_gang_run);
+            }
         }
         for (std::size_t k = 0; k < s.tasks.size(); ++k) {
             if (stored.is_number()) {
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -44,8 +44,15 @@
 
 void count_failure(reduce_context& ctx, const task_ref& ref, const ended_run& end) {
     std::uint32_t& failures = ref.spec->gang ? ref.progress->gang_failures : ref.item->failures;
-    ++failures;
-    ++ref.owner->effort.failed_runs;
+    // Several members of a gang's run may be listed as failed; the run has failed once.
+    const bool counted = ref.spec->gang && end.run <= ref.progress->last_failed_gang_run;
+    if (!counted) {
+        ++failures;
+        ++ref.owner->effort.failed_runs;
+    }
+    if (ref.spec->gang && !counted) {
+        ref.progress->last_failed_gang_run = end.run;
+    }
     ref.item->failed_on = ref.item->where.id;
     record_failed_job(ctx, ref.item->where.id, end.task.job);
     if (failures >= ref.owner->spec.policy.max_attempts && !ref.spec->long_running) {
