Planner: a failed task may return to a worker if no other has capacity

Cause: every worker on which any task of a step had ever failed or stalled, complete ones included, was excluded for all tasks of the step, without an end; the exclusion is stored, so a new leader keeps it. Ruled out: quarantine, which ends after 6 s (later jobs ran there), and attempts that were used up.

Now it is a preference. Other workers are searched first, as before. If none has capacity, a task may use workers that failed tasks of its step 2 s after its own last failure, except where one failed less than 2 s ago and no run has completed since; a task that lasts has no such exceptions, as it loses no attempts. A job must not be idle for 3 s, so the time can't be longer. A new leader counts it from its beginning. What crashes its workers is given up as before.

--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -67,6 +67,8 @@
     std::string checkpoint;
     /** Worker on which a run last failed or stalled; empty if none did. */
     std::string failed_on;
+    /** Monotonic time of that; after a change of leader, the time of the change. */
+    time_ms failed_at_ms = 0;
     /** Progress as reported by the worker. */
     int percent = 0;
     /** Monotonic time of the last change of `percent`. */
--- a/libs/scheduler/include/scheduler/worker.h
+++ b/libs/scheduler/include/scheduler/worker.h
@@ -144,6 +144,8 @@
     time_ms runs_lost_at_ms = 0;
     /** Jobs with failed runs on this worker since a task last completed there. */
     std::set<std::string> failed_jobs;
+    /** Monotonic time at which a run last completed here; 0 if none did. */
+    time_ms completed_run_at_ms = 0;
     time_ms quarantined_until_ms = 0;
 };
 
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -309,6 +309,7 @@
             if (ref.item->losses.unresolved > 0) {
                 state.inherited_losses.push_back(id);
             }
+            ref.item->failed_at_ms = ref.item->failed_on.empty() ? 0 : now.monotonic_ms;
         });
         state.jobs.emplace(j->spec.id, std::move(j));
     }
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -2,6 +2,7 @@
 
 #include "completion.h"
 #include "expected_run.h"
+#include "failure_avoidance.h"
 #include "overbooking.h"
 #include "speed_learning.h"
 #include "start_permission.h"
@@ -53,7 +54,7 @@
     if (ref.spec->gang && !counted) {
         ref.progress->last_failed_gang_run = end.run;
     }
-    ref.item->failed_on = ref.item->where.id;
+    note_failed_run(*ref.item, ctx.now.monotonic_ms);
     record_failed_job(ctx, ref.item->where.id, end.task.job);
     if (failures >= ref.owner->spec.policy.max_attempts && !ref.spec->long_running) {
         ref.owner->failed = true;
@@ -290,6 +291,7 @@
     if (end.reason == end_reason::done && !ref.spec->long_running) {
         if (worker* w = find_worker(ctx.state, ref.item->where.id)) {
             w->failed_jobs.clear();
+            w->completed_run_at_ms = ctx.now.monotonic_ms;
         }
         measure_end(ctx, end.task, ref);
         record_run_time(ctx.state, ref, ctx.now.monotonic_ms);
--- a/libs/scheduler/src/run_supervision.cpp
+++ b/libs/scheduler/src/run_supervision.cpp
@@ -1,6 +1,7 @@
 #include "run_supervision.h"
 
 #include "expected_run.h"
+#include "failure_avoidance.h"
 #include "stall_evidence.h"
 
 #include <algorithm>
@@ -101,7 +102,7 @@
                      describe_task(name, ref.item->run) + " worker=" + id +
                          " percent=" + std::to_string(ref.item->percent) + " still_for_ms=" +
                          std::to_string(w.answered_at_ms - ref.item->progressed_at_ms));
-        ref.item->failed_on = id;
+        note_failed_run(*ref.item, ctx.now.monotonic_ms);
         quarantine_worker(ctx, w, stall_quarantine_ms);
         stop_task(ctx, name, ref, "stalled");
     }
--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -1,6 +1,7 @@
 #include "start_planner.h"
 
 #include "capacity.h"
+#include "failure_avoidance.h"
 #include "gang_reservation.h"
 #include "group_placement.h"
 #include "infeasible_shapes.h"
@@ -62,14 +63,15 @@
     request.owner = group.owner;
     request.spec = &group.spec();
     request.avoided_racks = urgent ? nullptr : &p.headroom_racks;
-    for (const auto& t : group.parent->steps[group.step].tasks) {
-        if (limits_tasks_per_worker(request) && is_assigned(t.phase)) {
-            ++request.tasks_by_worker[t.where.id];
-        }
-        if (!t.failed_on.empty()) {
-            request.excluded_workers.insert(t.failed_on);
+    const step_progress& progress = group.parent->steps[group.step];
+    if (limits_tasks_per_worker(request)) {
+        for (const auto& t : progress.tasks) {
+            if (is_assigned(t.phase)) {
+                ++request.tasks_by_worker[t.where.id];
+            }
         }
     }
+    request.excluded_workers = workers_with_failures(progress);
     return request;
 }
 
@@ -220,9 +222,14 @@
 void plan_gang(planning_context& p, const task_group& group) {
     task_group_request request = make_request(p, group);
     set_isolation(p, group, request);
+    const bool retries = std::all_of(group.tasks.begin(), group.tasks.end(), [&](std::uint32_t i) {
+        return may_retry(group, i, p.now_ms);
+    });
+    task_group_request retry =
+        retries ? make_retry_request(p.state, group, request, p.now_ms) : request;
     bool waiting = false;
     if (!group.parent->steps[group.step].reserved_on.empty()) {
-        if (const auto chosen = claim_reservation(p.state, group, request, p.now_ms, waiting)) {
+        if (const auto chosen = claim_reservation(p.state, group, retry, p.now_ms, waiting)) {
             add_placements(p, group, *chosen);
             return;
         }
@@ -230,7 +237,11 @@
     if (waiting) {
         return;
     }
-    if (const auto chosen = place_gang(p, group, request, capacity_kind::free)) {
+    auto chosen = place_gang(p, group, request, capacity_kind::free);
+    if (!chosen && !request.excluded_workers.empty() && retries) {
+        chosen = place_gang(p, group, retry, capacity_kind::free);
+    }
+    if (chosen) {
         add_placements(p, group, *chosen);
         return;
     }
@@ -239,13 +250,16 @@
     }
     // Capacity that is about to become free is booked for this group, so that later groups can't
     // take it.
-    if (!place_gang(p, group, request, capacity_kind::free_after_stops)) {
-        preempt(p, group, request);
+    if (!place_gang(p, group, retry, capacity_kind::free_after_stops)) {
+        preempt(p, group, retry);
     }
 }
 
 /** Places the tasks that fit now and removes them from the group. */
 void place_tasks(planning_context& p, task_group& group, task_group_request& request) {
+    if (p.infeasible.contains(capacity_search::single_task, request, 1)) {
+        return;
+    }
     const auto add_chosen = [&](std::span<const worker_index> chosen) {
         add_placements(p, group, chosen);
         group.tasks.erase(group.tasks.begin(),
@@ -279,13 +293,9 @@
     }
 }
 
-/** Plans tasks that have the same requirements. The request is that of their step. */
-void plan_uniform_tasks(planning_context& p, task_group group, task_group_request& request) {
-    set_isolation(p, group, request);
-    if (!p.infeasible.contains(capacity_search::single_task, request, 1)) {
-        place_tasks(p, group, request);
-    }
-    if (group.owner->spec.policy.priority != 0 || group.tasks.empty()) {
+/** Stops runs for the tasks of an urgent group, unless pending stops free enough capacity. */
+void reclaim(planning_context& p, task_group& group, task_group_request& request) {
+    if (group.tasks.empty()) {
         return;
     }
     if (!p.infeasible.contains(capacity_search::single_task_after_stops, request, 1)) {
@@ -301,6 +311,32 @@
     preempt(p, group, request);
 }
 
+/** Requests of a step. */
+struct step_requests {
+    task_group_request usual;
+    task_group_request retry;
+};
+
+/** Plans tasks of a step that have the same requirements. */
+void plan_uniform_tasks(planning_context& p, task_group group, step_requests& requests) {
+    const bool urgent = group.owner->spec.policy.priority == 0;
+    set_isolation(p, group, requests.usual);
+    place_tasks(p, group, requests.usual);
+    if (!group.tasks.empty() && !requests.usual.excluded_workers.empty()) {
+        task_group retries = take_retries(group, p.now_ms);
+        requests.retry.required_isolation = requests.usual.required_isolation;
+        requests.retry.tasks_by_worker.swap(requests.usual.tasks_by_worker);
+        place_tasks(p, retries, requests.retry);
+        if (urgent) {
+            reclaim(p, retries, requests.retry);
+        }
+        requests.retry.tasks_by_worker.swap(requests.usual.tasks_by_worker);
+    }
+    if (urgent) {
+        reclaim(p, group, requests.usual);
+    }
+}
+
 /** Plans the tasks of a step. Each suspect is planned alone, because its runs are isolated. */
 void plan_tasks(planning_context& p, task_group group) {
     const auto is_suspect_task = [&](std::uint32_t index) {
@@ -311,13 +347,15 @@
                               [&](std::uint32_t index) { return !is_suspect_task(index); });
     const std::vector<std::uint32_t> suspects(first_suspect, group.tasks.end());
     group.tasks.erase(first_suspect, group.tasks.end());
-    task_group_request request = make_request(p, group);
+    step_requests requests;
+    requests.usual = make_request(p, group);
+    requests.retry = make_retry_request(p.state, group, requests.usual, p.now_ms);
     if (!group.tasks.empty()) {
-        plan_uniform_tasks(p, group, request);
+        plan_uniform_tasks(p, group, requests);
     }
     for (const std::uint32_t index : suspects) {
         group.tasks = {index};
-        plan_uniform_tasks(p, group, request);
+        plan_uniform_tasks(p, group, requests);
     }
 }
 
@@ -326,8 +364,8 @@
 plan make_plan(coordinator_state& state, plan_scope scope, time_ms now_ms) {
     constexpr int urgent_priority = 0;
     planning_context p{
-        state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.capacities), {}, {},
-        {}};
+        state, now_ms, {urgent_priority, now_ms, {}, {}}, is_mostly_idle(state.capacities), {},
+        {},    {}};
     p.headroom_racks = choose_headroom_racks(
         state.capacities, headroom_accelerators(state.recent_urgent_jobs, state.limits,
                                                 state.capacities.all_accelerators(), now_ms));
--- a/libs/scheduler/src/worker_sync.cpp
+++ b/libs/scheduler/src/worker_sync.cpp
@@ -70,6 +70,7 @@
     w.clock_reference_ms = 0;
     w.alive_at_ms = 0;
     w.failed_jobs.clear();
+    w.completed_run_at_ms = 0;
     w.quarantined_until_ms = 0;
     ctx.state.capacities.mark_stale(w.report.incarnation.id);
     give_up_jobs(ctx, hopeless);
--- a/libs/scheduler/tests/simulated_cluster.cpp
+++ b/libs/scheduler/tests/simulated_cluster.cpp
@@ -16,6 +16,8 @@
 constexpr time_ms crash_duration_ms = 3500;
 /** Time until the registry deletes the entry of a silent worker. */
 constexpr time_ms registry_silence_ms = 4500;
+/** Time from the start of a run that fails to its end. */
+constexpr time_ms failure_after_ms = 300;
 
 worker_report make_worker_report(int number) {
     auto report = coordinator_fixture::make_report("w" + std::to_string(number),
@@ -120,6 +122,11 @@
         crash_delay == crash_delays_ms_.end() ? 0 : now_.monotonic_ms + crash_delay->second,
         now_.monotonic_ms,
         run_time.usual_ms};
+    if (w.failing || failing_tasks_.contains(order.task)) {
+        simulated_run& run = w.runs[order.task];
+        run.ends_at_ms = now_.monotonic_ms + failure_after_ms;
+        run.reason = end_reason::failed;
+    }
     first_start_ms_.try_emplace(order.task, now_.monotonic_ms);
     w.lease_ends_at_ms = std::max(w.lease_ends_at_ms, order.deadline_at_worker_ms);
     if (crash_delay != crash_delays_ms_.end() && crash_delay->second == 0) {
@@ -217,6 +224,18 @@
     return silent ? std::optional(order_failure::no_answer) : std::nullopt;
 }
 
+void simulated_cluster::add_label(const std::string& id, const std::string& label) {
+    simulated_worker& w = workers_.at(id);
+    w.report.labels.push_back(label);
+    send(worker_reported{w.report});
+}
+
+void simulated_cluster::fail_run(const task_id& task) {
+    simulated_run& run = workers_.at(worker_of(task)).runs.at(task);
+    run.ends_at_ms = now_.monotonic_ms;
+    run.reason = end_reason::failed;
+}
+
 void simulated_cluster::cut_worker(const std::string& id, time_ms for_ms) {
     workers_.at(id).cut_until_ms = now_.monotonic_ms + for_ms;
 }
--- a/libs/scheduler/tests/simulated_cluster.h
+++ b/libs/scheduler/tests/simulated_cluster.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,14 @@
         run_times_ = std::move(model);
     }
     void set_crash_outcome(crash_outcome outcome) { crash_outcome_ = outcome; }
+    /** Lets a worker have one more label. */
+    void add_label(const std::string& id, const std::string& label);
+    /** Lets a worker fail all runs that it starts, a short time after their start, or not. */
+    void set_failing(const std::string& id, bool failing) { workers_.at(id).failing = failing; }
+    /** Lets each run of a task fail a short time after its start. */
+    void set_failing_task(const task_id& task) { failing_tasks_.insert(task); }
+    /** Lets the active run of a task fail. */
+    void fail_run(const task_id& task);
     /** Lets a worker neither answer nor report for some time; its runs continue. */
     void cut_worker(const std::string& id, time_ms for_ms);
     /** Changes the capacity of a worker, which reports it at once. Its runs continue. */
@@ -95,6 +104,7 @@
     struct simulated_worker {
         worker_report report;
         bool crashed = false;
+        bool failing = false;
         /** Whether another worker answers at the address. */
         bool replaced = false;
         /** Whether the registry holds an entry of the worker. */
@@ -151,6 +161,7 @@
     std::map<std::string, int> stop_counts_;
     std::map<task_id, int> start_counts_;
     std::map<task_id, time_ms> crash_delays_ms_;
+    std::set<task_id> failing_tasks_;
     std::function<simulated_run_time(const send_start&)> run_times_;
     crash_outcome crash_outcome_ = crash_outcome::replaced;
     int crash_count_ = 0;
