scheduler: accepted jobs follow their queue

Cause: the host that accepts a job stores the queue's policy (service, priority, attempts, objective) in the submission, which never changes, and every decision of every leader used that copy. The leader heard of guarantees and evacuations only.

Ruled out: a leader that doesn't read the new version (its host accepts the later job for the new service); plans that remember what was infeasible (they do so for one plan, keyed by service).

Change: a job has a policy in force, that of its queue in the newest version that the leader knows and that is newer than the one under which the job was accepted; submissions carry the number of that version. A changed policy is stored with the job's progress before anything is placed under it, so neither a lagging leader nor the next one moves a job back, and a removed queue leaves its jobs its last policy. The leader hears of each version by its number, as a view may skip versions; one that changes no accepted job's policy neither stores nor plans. On related paths: runs that are placed stay and start again on the new service if they are lost; fewer attempts end a job that waits, not its run under way, which isn't preempted either; the rack of a job's data counts only if the new service has a worker there. job_known logs the service; queue_policy_changed tells which jobs a version moved.

Tests: queue_change_test, queue_move_test (processes), and parts of codec_test, leader_test, configuration_view_test, classify_test and capacity_index_test (random histories with changing queues).

--- a/libs/gateway/include/gateway/configuration.h
+++ b/libs/gateway/include/gateway/configuration.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "scheduler/event.h"
 #include "scheduler/job_spec.h"
+#include "scheduler/queue_policies.h"
 
 #include <cstdint>
 #include <map>
@@ -31,4 +32,10 @@
     std::size_t max_body_bytes = 256 * 1024;
 };
 
+/**
+ * Returns the policies of all queues by their names. A name whose routes have different policies is
+ * left out, as it doesn't tell which of them a job belongs to. Thread safe.
+ */
+[[nodiscard]] scheduler::queue_policies queue_policies_of(const configuration& config);
+
 } // namespace fulmarworks::gateway
--- a/libs/gateway/tests/classify_test.cpp
+++ b/libs/gateway/tests/classify_test.cpp
@@ -74,3 +74,15 @@
     CHECK(std::holds_alternative<submit_job>(
         classify(&config, {"POST", "b.example", "/open/" + id, ""})));
 }
+
+TEST_CASE("queues are known by name, unless routes of one name have different policies") {
+    auto config = make_configuration();
+    config.version = 3;
+    config.routes[0].policy.pool = "pool";
+    config.routes[1].name = config.routes[2].name;
+    CHECK(queue_policies_of(config).version == 3);
+    CHECK(queue_policies_of(config).by_queue.size() == 2);
+    CHECK(queue_policies_of(config).by_queue.at("q").pool == "pool");
+    config.routes[1].policy.priority = 4;
+    CHECK(queue_policies_of(config).by_queue.size() == 1);
+}
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -144,6 +144,7 @@
         spec.account = call.account;
         spec.queue = call.queue->name;
         spec.policy = call.queue->policy;
+        spec.policy_version = config.version;
         spec.accepted_wall_ms = wall_now();
         spec.accepted_by = context.internal_address;
         context.payloads.add(call.job, spec.payload);
--- a/libs/node/src/configuration_view.cpp
+++ b/libs/node/src/configuration_view.cpp
@@ -110,6 +110,7 @@
         !configuration_ || configuration_->guarantees != decoded.value().guarantees;
     configuration_ = std::make_shared<const gateway::configuration>(std::move(decoded.value()));
     configuration_text_ = text;
+    context_.on_new_version();
     if (other_guarantees) {
         context_.on_requests_change();
     }
--- a/libs/node/src/configuration_view.h
+++ b/libs/node/src/configuration_view.h
@@ -20,7 +20,9 @@
     event_loop& loop;
     platform::store_client& store;
     decision_log& log;
-    /** Called after what concerns the leader has changed: the guarantees of the accounts or the
+    /** Called after each newer version of the configuration. */
+    std::function<void()> on_new_version;
+    /** Called after a change that may allow other starts: of the guarantees of the accounts or the
      * evacuated failure domains. */
     std::function<void()> on_requests_change;
     /** Called after each read of the store with whether it succeeded. */
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -137,14 +137,9 @@
             loop, http, store, log, counters, [this] { return valid_configuration(); },
             settings.internal_address(), payloads, *peer_hosts, [this] { return term.get(); },
             [this] { return leader_address(elector->state()); }, [this] { elector->refresh(); }});
-        operator_view = std::make_unique<configuration_view>(
-            configuration_view_context{loop, store, log,
-                                       [this] {
-                                           if (term) {
-                                               term->set_requests(requests());
-                                           }
-                                       },
-                                       [this](bool ok) { update_store_reachable(ok); }});
+        operator_view = std::make_unique<configuration_view>(configuration_view_context{
+            loop, store, log, [this] { update_requests(); }, [this] { update_requests(); },
+            [this](bool ok) { update_store_reachable(ok); }});
         elector = std::make_unique<leader_elector>(leader_elector_context{
             loop, store, log, settings.name, settings.internal_address(),
             [this] {
@@ -254,8 +249,19 @@
 
     operator_requests requests() const {
         const auto& configuration = operator_view->newest();
-        return {configuration ? configuration->guarantees : scheduler::guarantees{},
-                operator_view->evacuated_domains()};
+        operator_requests newest;
+        newest.evacuated_domains = operator_view->evacuated_domains();
+        if (configuration) {
+            newest.guarantees = configuration->guarantees;
+            newest.queues = queue_policies_of(*configuration);
+        }
+        return newest;
+    }
+
+    void update_requests() {
+        if (term) {
+            term->set_requests(requests());
+        }
     }
 
     /** Starts or ends this host's term after its leadership has changed. */
--- a/libs/node/src/leader.cpp
+++ b/libs/node/src/leader.cpp
@@ -151,7 +151,12 @@
     }
 
     void apply_requests() {
-        handle(scheduler::guarantees_changed{requests.guarantees});
+        if (state && state->queues.version < requests.queues.version) {
+            handle(scheduler::queues_changed{requests.queues});
+        }
+        if (state && state->account_guarantees != requests.guarantees) {
+            handle(scheduler::guarantees_changed{requests.guarantees});
+        }
         if (state && state->evacuated_domains != requests.evacuated_domains) {
             handle(scheduler::evacuations_changed{requests.evacuated_domains});
         }
--- a/libs/node/src/leader.h
+++ b/libs/node/src/leader.h
@@ -35,6 +35,7 @@
 struct operator_requests {
     scheduler::guarantees guarantees;
     std::set<std::string> evacuated_domains;
+    scheduler::queue_policies queues;
 };
 
 /** Answer to the query or the cancellation of a job. */
--- a/libs/scheduler/include/scheduler/coordinator.h
+++ b/libs/scheduler/include/scheduler/coordinator.h
@@ -73,6 +73,7 @@
     /** Whether starts wait until the view of the registry is current. */
     bool starts_held = false;
     guarantees account_guarantees;
+    queue_policies queues;
     /** Failure domains in which nothing new starts. */
     std::set<std::string> evacuated_domains;
 
--- a/libs/scheduler/include/scheduler/event.h
+++ b/libs/scheduler/include/scheduler/event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduler/queue_policies.h"
 #include "scheduler/worker.h"
 
 #include <cstdint>
@@ -48,6 +49,11 @@
     guarantees account_guarantees;
 };
 
+/** A version of the configuration is known; older ones than the last are ignored. */
+struct queues_changed {
+    queue_policies queues;
+};
+
 /** The operator wants nothing new to start in these failure domains. */
 struct evacuations_changed {
     std::set<std::string> failure_domains;
@@ -109,8 +115,9 @@
 
 struct tick {};
 
-using event = std::variant<job_submitted, workers_reported, guarantees_changed, evacuations_changed,
-                           poll_answered, poll_failed, start_answered, stop_answered,
-                           records_stored, submissions_deleted, cancel_requested, tick>;
+using event =
+    std::variant<job_submitted, workers_reported, guarantees_changed, queues_changed,
+                 evacuations_changed, poll_answered, poll_failed, start_answered, stop_answered,
+                 records_stored, submissions_deleted, cancel_requested, tick>;
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/include/scheduler/job.h
+++ b/libs/scheduler/include/scheduler/job.h
@@ -139,6 +139,10 @@
 
 struct job {
     job_spec spec;
+    /** Policy in force: that of the newest known configuration that has the job's queue. */
+    queue_policy policy;
+    /** Version of the configuration in which `policy` was first seen. */
+    std::uint64_t policy_version = 0;
     /** In order; each is created when it is due. */
     std::vector<occurrence> occurrences;
     bool cancel_requested = false;
@@ -163,6 +167,9 @@
     [[nodiscard]] bool ended() const { return ended_at_ms != 0; }
 };
 
+/** Creates a job without occurrences, under the policy of its submission. Thread safe. */
+[[nodiscard]] job make_job(job_spec spec);
+
 /** Creates an occurrence with all tasks idle. Thread safe. */
 [[nodiscard]] occurrence make_occurrence(const job_spec& spec, std::uint32_t number);
 
--- a/libs/scheduler/include/scheduler/job_spec.h
+++ b/libs/scheduler/include/scheduler/job_spec.h
@@ -54,6 +54,8 @@
     double slack_factor = 1;
     /** ... plus this constant. */
     time_ms latency_objective_ms = 0;
+
+    friend bool operator==(const queue_policy&, const queue_policy&) = default;
 };
 
 /** An accepted submission with the policy of its queue at that time. Immutable. */
@@ -62,6 +64,8 @@
     std::string account;
     std::string queue;
     queue_policy policy;
+    /** Version of the operator's configuration that `policy` is from; 0 if unknown. */
+    std::uint64_t policy_version = 0;
     /** Internal address of the entry host that accepted the job; empty if unknown. */
     std::string accepted_by;
     /** Opaque text that is passed to the workers. */
--- a/libs/scheduler/src/capacity.cpp
+++ b/libs/scheduler/src/capacity.cpp
@@ -117,7 +117,7 @@
         }
         return best.index();
     }
-    const auto& accepting = capacities.accepting_workers(request.owner->spec.policy.pool);
+    const auto& accepting = capacities.accepting_workers(request.owner->policy.pool);
     for (std::size_t speed = 0; speed < speed_class_count; ++speed) {
         if (request.speeds[speed]) {
             search_by_best_fit(best, capacities, accepting[speed], request, need, kind);
@@ -186,7 +186,7 @@
 
 bool eligible(const worker_capacity& capacity, const task_group_request& request) {
     if (!capacity.accepts_tasks || !contains(request.speeds, capacity.speed) ||
-        capacity.host->report.pool != request.owner->spec.policy.pool) {
+        capacity.host->report.pool != request.owner->policy.pool) {
         return false;
     }
     const std::string& rack = capacity.host->report.rack;
--- a/libs/scheduler/src/codec.cpp
+++ b/libs/scheduler/src/codec.cpp
@@ -234,6 +234,29 @@
     }
 }
 
+json encode_policy(const queue_policy& policy, std::uint64_t version) {
+    return json::array({version, policy.pool, policy.priority, policy.max_attempts,
+                        policy.slack_factor, policy.latency_objective_ms});
+}
+
+/** Decodes a policy, unless the submission has been repeated since and has a newer one. */
+void decode_policy(const json& stored, job& j) {
+    std::uint64_t version = 0;
+    queue_policy policy;
+    std::size_t i = 0;
+    const auto next = [&](auto& value) { read(stored.at(i++), value); };
+    next(version);
+    next(policy.pool);
+    next(policy.priority);
+    next(policy.max_attempts);
+    next(policy.slack_factor);
+    next(policy.latency_objective_ms);
+    if (version > j.policy_version) {
+        j.policy = std::move(policy);
+        j.policy_version = version;
+    }
+}
+
 std::string pack_progress(const job& j, bool with_checkpoints) {
     json occurrences = json::array();
     worker_table workers;
@@ -241,8 +264,12 @@
         occurrences.push_back(o.complete() ? json(1)
                                            : encode_occurrence(o, workers, with_checkpoints));
     }
-    return pack(json::array({progress_layout, j.cancel_requested, j.failed, j.started,
-                             std::move(occurrences), workers.take_rows()}));
+    json record = json::array({progress_layout, j.cancel_requested, j.failed, j.started,
+                               std::move(occurrences), workers.take_rows()});
+    if (j.policy_version != j.spec.policy_version) {
+        record.push_back(encode_policy(j.policy, j.policy_version));
+    }
+    return pack(record);
 }
 
 template <class Decode>
@@ -264,11 +291,12 @@
     for (const auto& s : spec.steps) {
         steps.push_back(encode_step(s));
     }
-    return pack(json::array({submission_layout, spec.account, spec.queue, spec.policy.pool,
-                             spec.payload, spec.policy.priority, spec.policy.max_attempts,
-                             spec.policy.slack_factor, spec.policy.latency_objective_ms,
-                             spec.accepted_wall_ms, std::move(steps), spec.repeat_count,
-                             spec.first_start_wall_ms, spec.repeat_interval_ms, spec.accepted_by}));
+    return pack(
+        json::array({submission_layout, spec.account, spec.queue, spec.policy.pool, spec.payload,
+                     spec.policy.priority, spec.policy.max_attempts, spec.policy.slack_factor,
+                     spec.policy.latency_objective_ms, spec.accepted_wall_ms, std::move(steps),
+                     spec.repeat_count, spec.first_start_wall_ms, spec.repeat_interval_ms,
+                     spec.accepted_by, spec.policy_version}));
 }
 
 result<job_spec> decode_job_spec(std::string_view data) {
@@ -296,9 +324,13 @@
         next(spec.repeat_count);
         next(spec.first_start_wall_ms);
         next(spec.repeat_interval_ms);
-        if (i < j.size()) { // missing in records of earlier releases
+        // Records of earlier releases lack the last ones.
+        if (i < j.size()) {
             next(spec.accepted_by);
         }
+        if (i < j.size()) {
+            next(spec.policy_version);
+        }
     });
     if (!decoded) {
         return decoded.error();
@@ -328,6 +360,10 @@
         const bool earlier_layout = stored.at(0) == earlier_progress_layout;
         const json no_workers = json::array();
         const json& workers = earlier_layout ? no_workers : stored.at(5);
+        constexpr std::size_t policy_index = 6; // only present if the policy has changed
+        if (stored.size() > policy_index) {
+            decode_policy(stored.at(policy_index), j);
+        }
         const auto decode = [&](const json& t) {
             return earlier_layout ? decode_task_of_layout_1(t) : decode_task(t, workers);
         };
--- a/libs/scheduler/src/completion.cpp
+++ b/libs/scheduler/src/completion.cpp
@@ -62,6 +62,8 @@
         return;
     }
     ref.item->phase = task_phase::idle;
+    // The policy may have changed during the run. Then it was the last one that may start.
+    ref.owner->failed = ref.owner->failed || attempts_exhausted(ref);
     mark_waiting(ctx.state, *ref.owner);
 }
 
--- a/libs/scheduler/src/coordinator.cpp
+++ b/libs/scheduler/src/coordinator.cpp
@@ -3,6 +3,7 @@
 #include "capacity.h"
 #include "lease.h"
 #include "lifecycle.h"
+#include "queue_changes.h"
 #include "scheduler/codec.h"
 #include "speed_learning.h"
 #include "start_permission.h"
@@ -39,15 +40,17 @@
     if (ctx.state.jobs.contains(spec.id)) {
         return;
     }
-    auto added = std::make_unique<job>();
-    added->spec = spec;
+    auto added = std::make_unique<job>(make_job(spec));
     added->accepted_at_ms = ctx.now.monotonic_ms;
     job& j = *added;
     ctx.state.jobs.emplace(spec.id, std::move(added));
+    if (adopt_queue_policy(ctx.state, j)) {
+        mark_changed(ctx, j);
+    }
     register_active_job(ctx.state, j);
     log_decision(ctx, "job_known",
                  "request=" + spec.id + " account=" + spec.account + " queue=" + spec.queue +
-                     " priority=" + std::to_string(spec.policy.priority) +
+                     " pool=" + j.policy.pool + " priority=" + std::to_string(j.policy.priority) +
                      " steps=" + std::to_string(spec.steps.size()) +
                      " age_ms=" + std::to_string(ctx.now.wall_ms - spec.accepted_wall_ms));
     create_due_occurrences(ctx, j);
@@ -253,6 +256,7 @@
         ctx.state.account_guarantees = e.account_guarantees;
         ctx.state.plan_needed = true;
     }
+    void operator()(const queues_changed& e) const { apply_queues(ctx, e); }
     void operator()(const evacuations_changed& e) const { apply_evacuations(ctx, e); }
     void operator()(const poll_answered& e) const { apply_poll(ctx, e); }
     void operator()(const poll_failed& e) const { apply_poll_failure(ctx, e); }
@@ -290,8 +294,7 @@
     const time_ms lease_expiry_bound = latest_lease_end(
         std::max(now.monotonic_ms, earlier_orders_until_ms), granted_lease(limits));
     for (auto& entry : jobs) {
-        auto j = std::make_unique<job>();
-        j->spec = std::move(entry.spec);
+        auto j = std::make_unique<job>(make_job(std::move(entry.spec)));
         const time_ms age = std::clamp<time_ms>(now.wall_ms - j->spec.accepted_wall_ms, 0,
                                                 limits.status_retention_ms);
         j->accepted_at_ms = now.monotonic_ms - age;
--- a/libs/scheduler/src/group_placement.cpp
+++ b/libs/scheduler/src/group_placement.cpp
@@ -1,5 +1,7 @@
 #include "group_placement.h"
 
+#include <algorithm>
+
 namespace fulmarworks::scheduler {
 
 namespace {
@@ -24,6 +26,13 @@
     return total;
 }
 
+bool has_worker_of_pool(const capacity_index& capacities, const rack_capacity& rack,
+                        const std::string& pool) {
+    return std::any_of(rack.workers.begin(), rack.workers.end(), [&](worker_index index) {
+        return capacities.at(index).host->report.pool == pool;
+    });
+}
+
 } // namespace
 
 std::vector<search_scope> preferred_racks(const capacity_index& capacities,
@@ -31,7 +40,8 @@
     std::vector<search_scope> racks;
     const std::string& data_rack = group.spec().data_rack;
     if (!data_rack.empty()) {
-        if (const rack_capacity* rack = capacities.rack(data_rack)) {
+        const rack_capacity* rack = capacities.rack(data_rack);
+        if (rack != nullptr && has_worker_of_pool(capacities, *rack, group.owner->policy.pool)) {
             racks.push_back(rack);
         }
     } else if (prefers_single_rack(group.spec())) {
--- a/libs/scheduler/src/group_placement.h
+++ b/libs/scheduler/src/group_placement.h
@@ -11,7 +11,8 @@
 
 /**
  * Returns the preferred racks of the group, those with the fewest free accelerators first: the rack
- * of its data, or any single rack for a gang that should not span several.
+ * of its data if the job's pool has workers there, or any single rack for a gang that should not
+ * span several.
  */
 [[nodiscard]] std::vector<search_scope> preferred_racks(const capacity_index& capacities,
                                                         const task_group& group);
--- a/libs/scheduler/src/infeasible_shapes.cpp
+++ b/libs/scheduler/src/infeasible_shapes.cpp
@@ -20,7 +20,7 @@
     if (failed_.empty() || (avoided != nullptr && avoided->contains(request.spec->data_rack))) {
         return false; // the others that failed had to avoid this rack
     }
-    const queue_policy& policy = request.owner->spec.policy;
+    const queue_policy& policy = request.owner->policy;
     const step_spec& spec = *request.spec;
     const resources need = booked_resources(spec);
     const auto known = [&](const std::string& label, std::uint32_t limit) {
@@ -40,7 +40,7 @@
         request.required_isolation != isolation::none) {
         return;
     }
-    const queue_policy& policy = request.owner->spec.policy;
+    const queue_policy& policy = request.owner->policy;
     const step_spec& spec = *request.spec;
     const shape failed{booked_resources(spec), count};
     // The limit for each worker doesn't matter for a single task.
--- a/libs/scheduler/src/job.cpp
+++ b/libs/scheduler/src/job.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/job.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarworks::scheduler {
 
@@ -19,6 +20,14 @@
     return std::all_of(steps.begin(), steps.end(), [](const auto& s) { return s.complete(); });
 }
 
+job make_job(job_spec spec) {
+    job j;
+    j.policy = spec.policy;
+    j.policy_version = spec.policy_version;
+    j.spec = std::move(spec);
+    return j;
+}
+
 occurrence make_occurrence(const job_spec& spec, std::uint32_t number) {
     occurrence o;
     o.number = number;
--- a/libs/scheduler/src/lifecycle.cpp
+++ b/libs/scheduler/src/lifecycle.cpp
@@ -56,7 +56,7 @@
     }
     note_failed_run(*ref.item, ctx.now.monotonic_ms);
     record_failed_job(ctx, ref.item->where.id, end.task.job);
-    if (failures >= ref.owner->spec.policy.max_attempts && !ref.spec->long_running) {
+    if (attempts_exhausted(ref)) {
         ref.owner->failed = true;
     }
 }
@@ -140,7 +140,7 @@
 
 void mark_waiting(coordinator_state& state, const job& j) {
     state.waiting_jobs.insert(j.spec.id);
-    if (j.spec.policy.priority == 0) {
+    if (j.policy.priority == 0) {
         state.waiting_urgent_jobs.insert(j.spec.id);
     }
 }
@@ -148,7 +148,7 @@
 void register_active_job(coordinator_state& state, const job& j) {
     mark_waiting(state, j);
     state.recurring_jobs.insert(j.spec.id);
-    if (j.spec.policy.priority == 0) {
+    if (j.policy.priority == 0) {
         state.recent_urgent_jobs.add(j.accepted_at_ms, max_step_accelerators(j.spec));
         state.urgent_demand[j.spec.account] += max_step_accelerators(j.spec);
     }
@@ -316,7 +316,7 @@
 
 void end_job(reduce_context& ctx, job& j) {
     ctx.state.recurring_jobs.erase(j.spec.id);
-    if (j.spec.policy.priority == 0) {
+    if (j.policy.priority == 0) {
         ctx.state.urgent_demand[j.spec.account] -= max_step_accelerators(j.spec);
     }
     j.ended_at_ms = ctx.now.monotonic_ms;
--- a/libs/scheduler/src/lookup.cpp
+++ b/libs/scheduler/src/lookup.cpp
@@ -28,6 +28,12 @@
     return !w.report.draining && !state.evacuated_domains.contains(w.report.failure_domain);
 }
 
+bool attempts_exhausted(const task_ref& ref) {
+    const std::uint32_t failures =
+        ref.spec->gang ? ref.progress->gang_failures : ref.item->failures;
+    return !ref.spec->long_running && failures >= ref.owner->policy.max_attempts;
+}
+
 resources booked_resources(const step_spec& spec) {
     resources need = spec.per_task;
     if (spec.fills_idle_cpu) {
--- a/libs/scheduler/src/lookup.h
+++ b/libs/scheduler/src/lookup.h
@@ -41,6 +41,9 @@
     return phase != task_phase::idle && phase != task_phase::complete;
 }
 
+/** Returns whether the task, or its gang, has failed as often as its job's policy allows. */
+[[nodiscard]] bool attempts_exhausted(const task_ref& ref);
+
 /** Returns the resources that a task of the step books on a worker. */
 [[nodiscard]] resources booked_resources(const step_spec& spec);
 
--- a/libs/scheduler/src/start_planner.cpp
+++ b/libs/scheduler/src/start_planner.cpp
@@ -58,7 +58,7 @@
 }
 
 task_group_request make_request(const planning_context& p, const task_group& group) {
-    const bool urgent = group.owner->spec.policy.priority == 0;
+    const bool urgent = group.owner->policy.priority == 0;
     task_group_request request;
     request.owner = group.owner;
     request.spec = &group.spec();
@@ -94,7 +94,7 @@
     }
     const settings& limits = p.state.limits;
     const auto wait_limit =
-        group.owner->spec.policy.priority == 0
+        group.owner->policy.priority == 0
             ? urgent_rack_wait_share * static_cast<double>(limits.reclaim_ms)
             : rack_wait_share * (limits.remote_factor - 1) *
                   static_cast<double>(group.owner->expected_step_run_ms[group.step]);
@@ -134,7 +134,7 @@
         return std::nullopt;
     }
     const auto racks = preferred_racks(p.capacities(), group);
-    const auto speeds = gang_speeds(p.state, group.owner->spec.policy.priority);
+    const auto speeds = gang_speeds(p.state, group.owner->policy.priority);
     std::optional<std::vector<worker_index>> chosen;
     if (!racks.empty() && !p.infeasible.contains(in_rack, request, count)) {
         for (auto it = speeds.begin(); it != speeds.end() && !chosen; ++it) {
@@ -245,7 +245,7 @@
         add_placements(p, group, *chosen);
         return;
     }
-    if (group.owner->spec.policy.priority != 0) {
+    if (group.owner->policy.priority != 0) {
         return;
     }
     // Capacity that is about to become free is booked for this group, so that later groups can't
@@ -265,7 +265,7 @@
         group.tasks.erase(group.tasks.begin(),
                           group.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
     };
-    const auto speeds = task_speeds(p.state, group.owner->spec.policy.priority);
+    const auto speeds = task_speeds(p.state, group.owner->policy.priority);
     const auto place_in_scope = [&](search_scope scope) {
         request.speeds = speeds.all_or_nothing;
         if (request.speeds.any()) {
@@ -319,7 +319,7 @@
 
 /** Plans tasks of a step that have the same requirements. */
 void plan_uniform_tasks(planning_context& p, task_group group, step_requests& requests) {
-    const bool urgent = group.owner->spec.policy.priority == 0;
+    const bool urgent = group.owner->policy.priority == 0;
     set_isolation(p, group, requests.usual);
     place_tasks(p, group, requests.usual);
     if (!group.tasks.empty() && !requests.usual.excluded_workers.empty()) {
--- a/libs/scheduler/src/task_groups.cpp
+++ b/libs/scheduler/src/task_groups.cpp
@@ -18,8 +18,8 @@
 time_ms objective_ms(const job& j) {
     const auto& paths = j.expected_remaining_path_ms;
     const time_ms critical_path = *std::max_element(paths.begin(), paths.end());
-    return static_cast<time_ms>(j.spec.policy.slack_factor * static_cast<double>(critical_path)) +
-           j.spec.policy.latency_objective_ms;
+    return static_cast<time_ms>(j.policy.slack_factor * static_cast<double>(critical_path)) +
+           j.policy.latency_objective_ms;
 }
 
 urgency classify(const task_group& group, time_ms objective_start_ms, bool guaranteed,
@@ -93,7 +93,7 @@
 /** Returns whether the account's guarantee covers all of its active urgent jobs. */
 bool is_guaranteed(const coordinator_state& state, const job& j) {
     const auto guarantee = state.account_guarantees.find(j.spec.account);
-    return j.spec.policy.priority == 0 && guarantee != state.account_guarantees.end() &&
+    return j.policy.priority == 0 && guarantee != state.account_guarantees.end() &&
            state.urgent_demand.at(j.spec.account) <= guarantee->second;
 }
 
@@ -124,7 +124,7 @@
     }
     std::sort(groups.begin(), groups.end(), [](const task_group& a, const task_group& b) {
         const auto key = [](const task_group& g) {
-            return std::tie(g.owner->spec.policy.priority, g.urgency_class, g.objective_at_ms,
+            return std::tie(g.owner->policy.priority, g.urgency_class, g.objective_at_ms,
                             g.owner->spec.id, g.parent->number, g.step);
         };
         return key(a) < key(b);
--- a/libs/scheduler/src/victim_selection.cpp
+++ b/libs/scheduler/src/victim_selection.cpp
@@ -38,8 +38,10 @@
     return cores * static_cast<double>(lost) / cores_per_accelerator + restart_cost_accelerator_ms;
 }
 
-bool may_be_preempted(const job& owner, const step_spec& spec, int priority) {
-    return owner.spec.policy.priority > priority && !spec.long_running;
+/** A run that could not start again is not preempted, as its job would fail. */
+bool may_be_preempted(const task_ref& ref, int priority) {
+    return ref.owner->policy.priority > priority && !ref.spec->long_running &&
+           !attempts_exhausted(ref);
 }
 
 bool is_stoppable(task_phase phase) {
@@ -49,8 +51,7 @@
 std::optional<victim> make_victim(coordinator_state& state, const task_id& id, int priority,
                                   time_ms now_ms) {
     const task_ref ref = find_task(state, id);
-    if (!ref || !is_stoppable(ref.item->phase) ||
-        !may_be_preempted(*ref.owner, *ref.spec, priority)) {
+    if (!ref || !is_stoppable(ref.item->phase) || !may_be_preempted(ref, priority)) {
         return std::nullopt;
     }
     victim v;
@@ -152,7 +153,7 @@
     }
     std::vector<capacity_index::search_key> keys;
     for (const auto& accepting :
-         a.state.capacities.accepting_workers(a.request.owner->spec.policy.pool)) {
+         a.state.capacities.accepting_workers(a.request.owner->policy.pool)) {
         const auto count = static_cast<std::ptrdiff_t>(std::min(max_candidates, accepting.size()));
         const auto middle = static_cast<std::ptrdiff_t>(keys.size());
         keys.insert(keys.end(), accepting.rbegin(), std::next(accepting.rbegin(), count));
--- a/libs/scheduler/tests/capacity_index_test.cpp
+++ b/libs/scheduler/tests/capacity_index_test.cpp
@@ -104,7 +104,7 @@
         if (j->ended()) {
             continue;
         }
-        if (j->spec.policy.priority == 0) {
+        if (j->policy.priority == 0) {
             demand[j->spec.account] += max_step_accelerators(j->spec);
         }
         bool idle = false;
@@ -119,9 +119,12 @@
     }
 }
 
-void check_history(unsigned seed) {
+void check_history(unsigned seed, bool queues_change) {
     INFO("seed " << seed);
     random_cluster cluster(seed);
+    if (queues_change) {
+        cluster.change_queues();
+    }
     coordinator_state& state = cluster.fixture().state;
     for (int i = 0; i < steps_per_history; ++i) {
         cluster.step();
@@ -144,7 +147,8 @@
 
 TEST_CASE("incremental updates of capacities and waiting jobs equal a full recomputation") {
     for (unsigned seed = 1; seed <= 30; ++seed) {
-        check_history(seed);
+        check_history(seed, false);
+        check_history(seed, true);
     }
 }
 
--- a/libs/scheduler/tests/codec_test.cpp
+++ b/libs/scheduler/tests/codec_test.cpp
@@ -84,6 +84,38 @@
     CHECK(tasks_of(restored)[1].losses.crashes == 0);
 }
 
+TEST_CASE("progress keeps a policy that has changed, unless the submission has a newer one") {
+    job j = make_job(make_started_job(1).spec);
+    j.occurrences.push_back(make_occurrence(j.spec, 0));
+    const std::size_t size_before = encode_progress(j).size();
+    j.policy = {"other", 0, 7, 1.5, 250};
+    j.policy_version = 4;
+    CHECK(encode_progress(j).size() > size_before);
+    job restored = make_job(j.spec);
+    REQUIRE(decode_progress(encode_progress(j), restored));
+    CHECK(restored.policy == j.policy);
+    CHECK(restored.policy_version == 4);
+    auto repeated = j.spec;
+    repeated.policy_version = 5;
+    restored = make_job(repeated);
+    REQUIRE(decode_progress(encode_progress(j), restored));
+    CHECK(restored.policy == repeated.policy);
+    CHECK(restored.policy_version == 5);
+}
+
+TEST_CASE("a submission keeps the version of its policy; earlier releases wrote none") {
+    auto spec = coordinator_fixture::make_job("a", 1, {1000, 1000, 1});
+    spec.policy_version = 12;
+    const std::string record = encode_job_spec(spec);
+    CHECK(decode_job_spec(record).value().policy_version == 12);
+    json earlier = json::from_msgpack(record);
+    earlier.erase(earlier.size() - 1);
+    const auto decoded = decode_job_spec(pack(earlier));
+    REQUIRE(decoded);
+    CHECK(decoded.value().policy_version == 0);
+    CHECK(decoded.value().policy == spec.policy);
+}
+
 TEST_CASE("each further task on the same worker adds a few bytes to a progress record") {
     constexpr std::size_t allowed_bytes_per_task = 6;
     const auto size_of = [](std::uint32_t count) {
@@ -140,6 +172,7 @@
     REQUIRE(decoded);
     CHECK(decoded.value().accepted_by == spec.accepted_by);
     json earlier = json::from_msgpack(record);
+    earlier.erase(earlier.size() - 1); // the version of the policy, which came later
     earlier.erase(earlier.size() - 1);
     const auto without = decode_job_spec(pack(earlier));
     REQUIRE(without);
--- a/libs/scheduler/tests/random_cluster.cpp
+++ b/libs/scheduler/tests/random_cluster.cpp
@@ -22,7 +22,34 @@
     return static_cast<int>(random_() % static_cast<unsigned>(below));
 }
 
+void random_cluster::change_queues() {
+    queue_random_.emplace(static_cast<unsigned>(random_()));
+    for (int i = 0; i < worker_count; ++i) {
+        report_worker("w" + std::to_string(i));
+    }
+}
+
+void random_cluster::publish_random_queue() {
+    const auto below = [&](unsigned limit) { return (*queue_random_)() % limit; };
+    constexpr unsigned steps_per_version = 6;
+    if (below(steps_per_version) != 0) {
+        return;
+    }
+    queue_policies queues{++configuration_version_, {}};
+    if (below(4) != 0) { // otherwise the version has no queue
+        queue_policy& policy = queues.by_queue["queue"];
+        policy = coordinator_fixture::make_job("", 1, {}).policy;
+        policy.pool = below(2) == 0 ? "pool" : "other-pool";
+        policy.priority = static_cast<int>(below(3));
+        policy.max_attempts = 1 + below(3);
+    }
+    fixture_.send(queues_changed{queues});
+}
+
 void random_cluster::step() {
+    if (queue_random_) {
+        publish_random_queue();
+    }
     switch (random_below(12)) {
     case 0:
     case 1:
@@ -54,6 +81,9 @@
     auto entry = coordinator_fixture::make_report(
         id, "r" + std::to_string(std::stoi(id.substr(1)) / rack_size));
     entry.incarnation.started_wall_ms = workers_[id].started_wall_ms;
+    if (queue_random_ && std::stoi(id.substr(1)) >= worker_count / 2) {
+        entry.pool = "other-pool";
+    }
     entry.draining = chance(5);
     entry.remaining_ms = 1000;
     if (chance(10)) {
--- a/libs/scheduler/tests/random_cluster.h
+++ b/libs/scheduler/tests/random_cluster.h
@@ -3,6 +3,7 @@
 #include "coordinator_fixture.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,6 +18,9 @@
 public:
     explicit random_cluster(unsigned seed);
 
+    /** Divides the workers between two pools, and lets the configuration change at random steps. */
+    void change_queues();
+
     /** Triggers one random event, then answers some of the outstanding orders and polls. */
     void step();
 
@@ -36,6 +40,7 @@
     bool chance(int percent) { return random_below(100) < percent; }
     std::string random_worker_id() { return "w" + std::to_string(random_below(worker_count)); }
 
+    void publish_random_queue();
     void report_worker(const std::string& id);
     void submit_random_job();
     void cancel_random_job();
@@ -54,6 +59,10 @@
     coordinator_fixture fixture_;
     std::map<std::string, simulated_worker> workers_;
     int next_job_ = 0;
+    /** Null while the configuration doesn't change. Separate, so that the other events of a seed
+     * are the same with and without changes. */
+    std::optional<std::mt19937> queue_random_;
+    std::uint64_t configuration_version_ = 0;
 };
 
 } // namespace fulmarworks::scheduler
--- a/libs/scheduler/tests/simulated_cluster.cpp
+++ b/libs/scheduler/tests/simulated_cluster.cpp
@@ -296,6 +296,12 @@
     }
 }
 
+void simulated_cluster::set_pool(const std::string& id, const std::string& pool) {
+    worker_report& report = workers_.at(id).report;
+    report.pool = pool;
+    send(worker_reported{report});
+}
+
 void simulated_cluster::change_leader() {
     ++leader_epoch_;
     std::vector<stored_job> jobs;
--- a/libs/scheduler/tests/simulated_cluster.h
+++ b/libs/scheduler/tests/simulated_cluster.h
@@ -45,6 +45,11 @@
         send(guarantees_changed{{{account, accelerators}}});
     }
 
+    /** Publishes a version of the configuration. */
+    void set_queues(const queue_policies& queues) { send(queues_changed{queues}); }
+    /** Makes a worker a member of another pool, which it reports at once. */
+    void set_pool(const std::string& id, const std::string& pool);
+
     /** Advances the virtual clock and processes everything that comes due. */
     void run_for(time_ms duration_ms);
 
@@ -73,7 +78,8 @@
     /** Crashes a worker, whatever runs there. */
     void crash_worker(const std::string& id);
 
-    /** Replaces the leader by a new one that recovers from the stored progress only. */
+    /** Replaces the leader by a new one that recovers from the stored progress only, and knows no
+     * configuration. */
     void change_leader();
 
     /** Returns the time from the submission of a job until all its tasks had started; -1 if a task
--- a/tests/soak/configuration_view_test.cpp
+++ b/tests/soak/configuration_view_test.cpp
@@ -31,13 +31,14 @@
     std::string address = "127.0.0.1:" + std::to_string(find_free_ports(1));
     platform::store_client client{http, address};
     decision_log log{"host"};
+    int versions = 0;
     int changes = 0;
     std::unique_ptr<configuration_view> view;
 
     view_fixture() {
         REQUIRE(store.listen(address));
-        view = std::make_unique<configuration_view>(
-            configuration_view_context{loop, client, log, [this] { ++changes; }, [](bool) {}});
+        view = std::make_unique<configuration_view>(configuration_view_context{
+            loop, client, log, [this] { ++versions; }, [this] { ++changes; }, [](bool) {}});
     }
 
     void write(const json& document) { store.put(topic_name, "config", document.dump()); }
@@ -95,6 +96,7 @@
     REQUIRE(f.reaches(3));
     f.store.set_mode(soak::store_mode::silent, 0);
     f.run_for(bound_ms);
+    const int versions_before = f.versions;
     const int changes_before = f.changes;
     for (const int version : {5, 7, 9}) {
         f.write(make_document(version));
@@ -103,10 +105,12 @@
     REQUIRE(f.is_confirmed_after(boottime_now()));
     CHECK(f.view->version() == 9);
     CHECK(f.changes == changes_before);
+    CHECK(f.versions == versions_before + 1);
     f.write(make_document(8));
     REQUIRE(f.is_confirmed_after(boottime_now()));
     CHECK(f.view->version() == 9);
     CHECK(f.changes == changes_before);
+    CHECK(f.versions == versions_before + 1);
 }
 
 // Each new version made the leader plan all waiting jobs anew, three times a second in a series of
--- a/tests/soak/leader_test.cpp
+++ b/tests/soak/leader_test.cpp
@@ -47,6 +47,8 @@
     peers peer_hosts{peer_context{loop, http, client, log, counters, "127.0.0.1:1",
                                   [](std::uint64_t) { return std::nullopt; },
                                   [](const store_view&, time_ms) {}, [] { return 0; }}};
+    std::uint64_t epoch = 1;
+    operator_requests requests;
     std::unique_ptr<leader> term;
 
     leader_fixture() { REQUIRE(store.listen(address)); }
@@ -65,7 +67,12 @@
         term = std::make_unique<leader>(leader_context{loop, http, client, log, counters,
                                                        peer_hosts, link_mbps, limits,
                                                        [](time_ms) { return true; }},
-                                        1, 0, operator_requests{}, [] {});
+                                        epoch, 0, requests, [] {});
+    }
+
+    [[nodiscard]] bool uses_pool(const std::string& pool) const {
+        const auto found = term->state()->jobs.find(job_id);
+        return found != term->state()->jobs.end() && found->second->policy.pool == pool;
     }
 
     job_answer query_job() {
@@ -175,3 +182,32 @@
         CHECK(f.loop.run_until(loaded, first_read_ms + 1000) == learned);
     }
 }
+
+// A new leader may know only an older version than the leader before it.
+TEST_CASE(
+    "a leader moves accepted jobs with their queue, and its successor doesn't move them back") {
+    leader_fixture f;
+    auto spec = small_job();
+    spec.queue = "queue";
+    f.store.put("keyed.submissions", job_id, scheduler::encode_job_spec(spec));
+    const auto in_pool = [&](std::uint64_t version, const char* pool) {
+        auto policy = spec.policy;
+        policy.pool = pool;
+        return scheduler::queue_policies{version, {{"queue", policy}}};
+    };
+    f.requests.queues = in_pool(1, "pool");
+    f.start_leader();
+    REQUIRE(f.loop.run_until([&] { return f.uses_pool("pool"); }, wait_limit_ms));
+    f.requests.queues = in_pool(2, "other-pool");
+    f.term->set_requests(f.requests);
+    CHECK(f.uses_pool("other-pool"));
+    REQUIRE(f.loop.run_until([&] { return f.is_stored("keyed.progress"); }, wait_limit_ms));
+    f.requests.queues = in_pool(1, "pool");
+    ++f.epoch;
+    f.start_leader();
+    CHECK(f.uses_pool("other-pool"));
+    f.requests.queues = in_pool(3, "third-pool");
+    ++f.epoch;
+    f.start_leader();
+    CHECK(f.uses_pool("third-pool"));
+}
