node: a stopping host answers what it has taken before it exits

Cause: a stopping host ended its event loop at a fixed time, whatever was open. Queries and cancellations without a leader are tried for 1.6 s, submissions without an answer of the store until their callers' deadlines, so those of the last moments were cut off.

Change: 1.2 s before the end of the grace period all open calls get the answer that is true then, 503 or 504 if they may have been executed; later ones are refused at once, and the process exits 0.5 s after that. The times are decided by next_step, apart from input and output; a late host answers before it exits.

--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
+#include <utility>
 
 namespace fulmarworks::node {
 
@@ -86,9 +88,17 @@
 
     explicit impl(caller_context c) : context(std::move(c)) {}
 
-    /** A submission that has not been answered yet. */
-    struct submission {
+    /** A call that has not been answered yet. */
+    struct open_call {
         std::string id;
+        /** Whether an attempt got no answer, so that the call may have been executed. */
+        bool maybe_executed = false;
+        /** Whether an attempt that changes something is under way. */
+        bool attempt_open = false;
+        respond_handler respond;
+    };
+
+    struct submission : open_call {
         std::string record;
         /** End of the retries if all attempts were refused; the caller then gets a Retry-After. */
         time_ms refusal_deadline = 0;
@@ -97,21 +107,38 @@
         time_ms deadline = 0;
         time_ms started_at = 0;
         int attempts = 0;
-        /** Whether an attempt got no answer, so that the job may be stored. */
-        bool maybe_stored = false;
-        respond_handler respond;
     };
 
     /** A call that only the leader can answer. */
-    struct leader_call {
-        std::string id;
+    struct leader_call : open_call {
         std::string target;
         std::string method;
         time_ms deadline = 0;
         std::function<void(leader&, std::function<void(const http_response&)>)> call_local;
-        respond_handler respond;
+
+        [[nodiscard]] bool changes_job() const { return method != "GET"; }
     };
 
+    std::set<std::shared_ptr<open_call>> open_calls;
+    /** Whether nothing is attempted any more, as the process ends. */
+    bool closed = false;
+
+    /** Does nothing if the call has been answered. */
+    void answer(const std::shared_ptr<open_call>& open, const http_response& response) {
+        if (open_calls.erase(open) > 0) {
+            open->respond(response);
+        }
+    }
+
+    void close() {
+        closed = true;
+        for (const auto& open : std::exchange(open_calls, {})) {
+            const bool unknown = open->maybe_executed || open->attempt_open;
+            refuse("host_stopping", open->id, unknown ? outcome_unknown() : retry_later(),
+                   open->respond);
+        }
+    }
+
     /**
      * Returns a refusal with a Retry-After as long as the current store outage. An outage that has
      * lasted for a while is likely to last as long again, and callers make only a few retries.
@@ -155,11 +182,16 @@
         open->deadline = open->started_at + caller_timeout_of(request) - response_margin_ms;
         open->refusal_deadline = std::min(open->deadline, open->started_at + refused_retry_time_ms);
         open->respond = std::move(respond);
+        open_calls.insert(open);
         store(open);
     }
 
     void store(const std::shared_ptr<submission>& open) {
+        if (closed) {
+            return;
+        }
         ++open->attempts;
+        open->attempt_open = true;
         if (context.store.unavailable()) {
             store_through_peer(open);
             return;
@@ -184,6 +216,10 @@
     }
 
     void store_done(const std::shared_ptr<submission>& open, platform::store_status outcome) {
+        if (closed) {
+            return;
+        }
+        open->attempt_open = false;
         const time_ms now = boottime_now();
         if (outcome == platform::store_status::ok) {
             context.counters.count("submissions_total", "outcome", "accepted");
@@ -193,16 +229,17 @@
                               "request=" + open->id +
                                   " attempts=" + std::to_string(open->attempts) +
                                   " took_ms=" + std::to_string(now - open->started_at));
-            open->respond(empty_response(200));
+            answer(open, empty_response(200));
             return;
         }
-        open->maybe_stored = open->maybe_stored || outcome == platform::store_status::no_answer;
+        open->maybe_executed = open->maybe_executed || outcome == platform::store_status::no_answer;
         context.counters.count("store_retries_total", "call", "submission");
-        if (now < (open->maybe_stored ? open->deadline : open->refusal_deadline)) {
+        if (now < (open->maybe_executed ? open->deadline : open->refusal_deadline)) {
             run_after(context.loop, retry_delay_ms, [open](impl& i) { i.store(open); });
             return;
         }
-        if (open->maybe_stored) {
+        open_calls.erase(open);
+        if (open->maybe_executed) {
             refuse("store_silent", open->id, outcome_unknown(), open->respond);
         } else {
             refuse("store_unavailable", open->id, retry_later(), open->respond);
@@ -210,7 +247,11 @@
     }
 
     void call_leader(const std::shared_ptr<leader_call>& open) {
+        if (closed) {
+            return;
+        }
         if (leader* term = context.local_leader()) {
+            open->attempt_open = open->changes_job();
             open->call_local(*term, guarded([open](impl& i, const http_response& response) {
                 i.leader_answered(open, response);
             }));
@@ -221,6 +262,7 @@
             leader_answered(open, unavailable());
             return;
         }
+        open->attempt_open = open->changes_job();
         http_call call;
         call.method = open->method;
         call.address = address;
@@ -237,6 +279,10 @@
     }
 
     void leader_answered(const std::shared_ptr<leader_call>& open, const http_response& response) {
+        if (closed) {
+            return;
+        }
+        open->attempt_open = false;
         const bool final_answer = response.status == 200 || response.status == 410;
         if (!final_answer && boottime_now() < open->deadline) {
             context.refresh_leader();
@@ -246,10 +292,11 @@
             return;
         }
         if (!final_answer) {
+            open_calls.erase(open);
             refuse("no_leader", open->id, retry_later(), open->respond);
             return;
         }
-        open->respond(response);
+        answer(open, response);
     }
 
     void start_leader_call(
@@ -264,6 +311,7 @@
                                                    max_leader_call_time_ms);
         open->call_local = std::move(call_local);
         open->respond = std::move(respond);
+        open_calls.insert(open);
         call_leader(open);
     }
 
@@ -297,7 +345,15 @@
 
 caller_api::~caller_api() = default;
 
+void caller_api::close() {
+    impl_->close();
+}
+
 void caller_api::handle(const http_request& request, respond_handler respond) {
+    if (impl_->closed) {
+        impl_->refuse("host_stopping", "-", impl_->retry_later(), respond);
+        return;
+    }
     const auto config = impl_->context.configuration();
     const gateway::request_head line{request.method, request.headers[caller_host], request.path,
                                      request.headers[caller_key]};
--- a/libs/node/src/caller_api.h
+++ b/libs/node/src/caller_api.h
@@ -52,6 +52,10 @@
     /** Handles one request of a caller. Calls `respond` exactly once. */
     void handle(const http_request& request, respond_handler respond);
 
+    /** Answers all open calls at once, and refuses those that follow: the process is about to end.
+     * A call that may have been executed is answered so. */
+    void close();
+
     /** Answers a call for the leader that another entry host forwarded. */
     void handle_forwarded(const http_request& request, respond_handler respond);
 
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -11,6 +11,7 @@
 #include "peers.h"
 #include "platform/headers.h"
 #include "start_relay.h"
+#include "stop_schedule.h"
 #include "sustained_delay.h"
 #include "topic_follower.h"
 #include "traffic_report.h"
@@ -26,8 +27,6 @@
 constexpr time_ms tick_ms = 25;
 /** Interval between reads of the list of entry hosts, and between attempts to register in it. */
 constexpr time_ms member_interval_ms = 3000;
-/** Time for which a stopping host accepts connections, until its load balancer has noticed. */
-constexpr time_ms drain_time_ms = 2300;
 /** Partitions over which submissions are spread, if the store allows as many: with these, a store
  * whose appends take 50 ms accepts 160 jobs a second. */
 constexpr std::uint32_t max_submission_partitions = 8;
@@ -38,9 +37,6 @@
 constexpr std::size_t max_payload_cache_bytes = std::size_t{1} << 20;
 /** Interval between log lines with the traffic of a leader. */
 constexpr time_ms traffic_log_interval_ms = 10'000;
-/** Part of the grace period that is reserved for the exit of the process. */
-constexpr time_ms exit_margin_ms = 700;
-
 /** Delay of the event loop from which a line is logged. */
 constexpr time_ms logged_loop_delay_ms = 200;
 
@@ -75,7 +71,7 @@
     /** Whether calls were refused for want of a confirmed configuration at the last tick. */
     bool configuration_expired = false;
     bool stopping = false;
-    time_ms stop_started_at = 0;
+    stop_schedule stop;
 
     impl(event_loop& l, const node_settings& s)
         : loop(l), settings(s), log(s.name), http(l),
@@ -333,16 +329,17 @@
         }
         log.flush();
         if (stopping) {
-            stop_if_drained();
+            continue_stop();
         }
         run_after(loop, tick_ms, [](impl& i) { i.tick(); });
     }
 
-    void stop_if_drained() {
-        const time_ms stopping_for = boottime_now() - stop_started_at;
+    void continue_stop() {
         const bool idle = caller_server->open_requests() == 0 && !term;
-        if ((idle && stopping_for >= drain_time_ms) ||
-            stopping_for >= settings.stop_grace_ms - exit_margin_ms) {
+        switch (next_step(stop, boottime_now(), settings.stop_grace_ms, idle)) {
+        case stop_step::serve: return;
+        case stop_step::answer_calls: api->close(); return;
+        case stop_step::exit:
             log.write("node_stopped",
                       "open_requests=" + std::to_string(caller_server->open_requests()));
             log.flush();
@@ -381,7 +378,7 @@
         return;
     }
     impl_->stopping = true;
-    impl_->stop_started_at = boottime_now();
+    impl_->stop.started_at_ms = boottime_now();
     impl_->log.write("node_stopping",
                      "open_requests=" + std::to_string(impl_->caller_server->open_requests()));
     impl_->caller_server->drain();
