tests: crowds of clients that keep to no limit, against all ports

test_crowd starts an entry host, or an instance of `serve`, with a limit of memory (32 and 48 MB) and of descriptors (256) in its settings, lets a crowd of plain sockets loose on one of its ports, and checks that the process lives, that its peak memory (VmHWM) and its descriptors stay within these limits, and that an ordinary submission is accepted beside the crowd and after it. Each case is a test of its own in ctest, and runs alone.

Passed before any change: empty lines, bodies far over the limit, announced or in pieces, trailers, bodies sent ahead, and connections to the peers' port. The cases of `serve` ran without the two lines of settings, which it refuses so far.

The failing tests are listed in KNOWN-RED.txt by "ctest: NAME"; build.sh passes over exactly these.

--- a/build.sh
+++ b/build.sh
@@ -56,6 +56,9 @@
         xargs -P "$JOBS" -n 2 clang-tidy -p "$BUILD_DIR" --quiet 2>/dev/null
 }
 
+# Names of the tests that KNOWN-RED.txt lists with "ctest: NAME", joined for a regular expression.
+known_red() { sed -n 's/^  ctest: *//p' KNOWN-RED.txt | paste -sd '|'; }
+
 run_tests() {
     build "${1:-}"
     if [ "${1:-}" != --sanitize ]; then
@@ -63,7 +66,9 @@
         check_lint
     fi
     export LSAN_OPTIONS="suppressions=$PWD/tests/lsan.supp:print_suppressions=0"
-    ctest --test-dir "$BUILD_DIR" --output-on-failure -j 4
+    local passed_over=()
+    [ -n "$(known_red)" ] && passed_over=(-E "^($(known_red))\$")
+    ctest --test-dir "$BUILD_DIR" --output-on-failure -j 4 "${passed_over[@]}"
 }
 
 command=${1:-}
--- a/tests/harness/test_cluster.h
+++ b/tests/harness/test_cluster.h
@@ -42,6 +42,8 @@
     void start_instance(int i);
     [[nodiscard]] child_process& instance(int i) { return *instances_[i]; }
     [[nodiscard]] const std::string& address(int i) const { return api_addresses_[i]; }
+    /** IP:PORT on which instance `i` takes the connections of other instances. */
+    [[nodiscard]] const std::string& peer_address(int i) const { return peer_addresses_[i]; }
     [[nodiscard]] int instance_count() const { return static_cast<int>(instances_.size()); }
 
     /** Sends a request to instance `i`; the status is 0 if it does not respond. */
