http: the server bounds what a client sends, holds open or leaves unread

Cause: evhttp read on while a request waited for its answer or an answer waited to be read, kept every header as three allocations, had no limit of heads set, has none for the size line of a chunk, and gives a server no hold on connections before their first request. Ruled out: a limit of heads alone, which leaves requests sent ahead and chunk lines; watermarks under evhttp, which wait for whole bodies in the buffer that they bound, so that a body of the permitted size would never arrive.

A connection handles one request at a time, reads no further than one head ahead, keeps only the headers that the server asks for, and rejects what is too large as soon as that is known (431, 413), with a moment for the client to read the answer. All servers of a process share one account of memory (client_memory); above its limit those connections are closed that held the most bytes for the longest (load_shedding.h), never a request that is being processed. Connections, open requests, the time for a request to arrive and for an answer to be taken are limited; kernel buffers are set.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "http/client_limit.h"
 #include "http/event_loop.h"
 
 #include <cstdint>
@@ -13,6 +14,8 @@
 
 namespace fulmarworks {
 
+class client_memory;
+
 struct http_request {
     std::string method;
     std::string path;
@@ -51,9 +54,13 @@
                                         std::int64_t fallback);
 
 /**
- * HTTP server on evhttp. Each request gets a token, which `respond` takes, either within the
+ * HTTP/1.1 server on libevent. Each request gets a token, which `respond` takes, either within the
  * request handler or later.
  *
+ * Whatever a client sends, holds open or leaves unread is bounded for each connection, and for all
+ * servers that share a `client_memory`. What exceeds a limit is rejected with a status, or its
+ * connection is closed; a rejected request has not reached the request handler.
+ *
  *     auto server = http_server::Builder()
  *                       .address("127.0.0.1:8080")
  *                       .on_request([&](const http_request& r, std::uint64_t token) { ... })
@@ -66,6 +73,7 @@
 public:
     using request_handler = std::function<void(const http_request&, std::uint64_t token)>;
     using gone_handler = std::function<void(std::uint64_t token)>;
+    using limit_handler = std::function<void(client_limit limit)>;
 
     class Builder; // NOLINT(readability-identifier-naming): name set by the style guide.
 
@@ -85,6 +93,12 @@
     /** Returns the number of requests without a response so far. */
     [[nodiscard]] std::size_t open_requests() const;
 
+    /** Returns the number of open connections. */
+    [[nodiscard]] std::size_t open_connections() const;
+
+    /** Changes the limit of the bodies of requests that arrive from now on. */
+    void set_max_body_bytes(std::uint64_t value);
+
 private:
     struct impl;
     explicit http_server(std::unique_ptr<impl> i);
@@ -96,25 +110,47 @@
     /** IP address and port, such as 127.0.0.1:8080. */
     Builder& address(std::string value);
     Builder& max_body_bytes(std::uint64_t value);
-    /** Time limit for a client to send its request. */
+    /** Bytes of a request line with all headers, and of a chunk's size line or trailers; at least
+     * 1024. Also the bytes that a client may send ahead. */
+    Builder& max_head_bytes(std::size_t value);
+    /** Time without a request after which a connection is closed. */
     Builder& read_timeout_ms(time_ms value);
+    /** Time for a whole request to arrive, or for a client to take a response. Large messages get
+     * more: a second for each 16 KiB transferred. */
+    Builder& transfer_timeout_ms(time_ms value);
+    /** Open connections. A further one replaces one that is idle, or that transfers for the
+     * longest; it is closed at once if the requests of all others are being processed. */
+    Builder& max_connections(std::size_t value);
+    /** Requests without a response. Further ones are rejected with status 503. */
+    Builder& max_open_requests(std::size_t value);
+    /** Account of the memory held for clients; an own one of 64 MiB by default. */
+    Builder& memory(std::shared_ptr<client_memory> value);
     /** Adds a header whose value is copied into `http_request::headers`. */
     Builder& header(std::string name);
     Builder& on_request(request_handler value);
-    /** Called with the token of a request whose client disconnected before the response. */
+    /** Called with the token of a request whose client disconnected before the response, which ends
+     * the request. Without this handler, a request with a body counts as open until `respond`. */
     Builder& on_gone(gone_handler value);
+    /** Called whenever a limit is applied to a client. */
+    Builder& on_limit(limit_handler value);
 
-    /** Binds the address and listens. Errors: invalid_argument for a malformed address, unavailable
-     * if it can't be bound. */
+    /** Binds the address and listens. Precondition: `on_request` is set. Errors: invalid_argument
+     * for a malformed address, unavailable if it can't be bound. */
     [[nodiscard]] result<std::unique_ptr<http_server>> build(event_loop& loop);
 
 private:
     std::string address_;
     std::uint64_t max_body_bytes_ = 262144;
+    std::size_t max_head_bytes_ = 16 * std::size_t{1024};
     time_ms read_timeout_ms_ = 10 * milliseconds_per_second;
+    time_ms transfer_timeout_ms_ = 30 * milliseconds_per_second;
+    std::size_t max_connections_ = 4096;
+    std::size_t max_open_requests_ = 4096;
+    std::shared_ptr<client_memory> memory_;
     std::vector<std::string> headers_;
     request_handler on_request_;
     gone_handler on_gone_;
+    limit_handler on_limit_;
 };
 
 struct socket_address {
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -1,56 +1,54 @@
 #include "http/http_server.h"
 
-#include "base/log_line.h"
+#include "client_connection.h"
+#include "http/client_memory.h"
+#include "load_shedding.h"
 
 #include <arpa/inet.h>
-#include <charconv>
-#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace fulmarworks {
 
 namespace {
 
-std::string method_name(evhttp_request* request) {
-    switch (evhttp_request_get_command(request)) {
-    case EVHTTP_REQ_GET: return "GET";
-    case EVHTTP_REQ_POST: return "POST";
-    case EVHTTP_REQ_PUT: return "PUT";
-    case EVHTTP_REQ_DELETE: return "DELETE";
-    default: return "OTHER";
+/** Kernel buffers of a connection. The receive buffer holds what a client sends ahead beyond one
+ * head. */
+constexpr int receive_buffer_bytes = 32 * 1024;
+constexpr int send_buffer_bytes = 64 * 1024;
+/** Connections that wait for being accepted. */
+constexpr int listen_backlog = 1024;
+constexpr time_ms sweep_interval_ms = 500;
+/** Time without accepting after the process has run out of descriptors. */
+constexpr time_ms accept_pause_ms = 100;
+/** Time after which a request whose client has left is taken for processed. */
+constexpr time_ms max_abandoned_ms = 120 * milliseconds_per_second;
+constexpr std::size_t default_memory_bytes = std::size_t{64} * 1024 * 1024;
+
+/** Returns null if the address can't be bound. */
+evconnlistener* listen_on(event_base* base, const socket_address& where,
+                          evconnlistener_cb on_accepted, void* argument) {
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(where.port);
+    inet_pton(AF_INET, where.ip.c_str(), &address.sin_addr);
+    constexpr unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
+    evconnlistener* listener =
+        evconnlistener_new_bind(base, on_accepted, argument, flags, listen_backlog,
+                                reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    if (listener != nullptr) {
+        // Accepted connections inherit these options.
+        const evutil_socket_t descriptor = evconnlistener_get_fd(listener);
+        constexpr int on = 1;
+        setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                   sizeof receive_buffer_bytes);
+        setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes, sizeof send_buffer_bytes);
     }
-}
-
-std::string string_or_empty(const char* text) {
-    return text == nullptr ? "" : text;
-}
-
-std::string read_body(evhttp_request* request) {
-    evbuffer* input = evhttp_request_get_input_buffer(request);
-    std::string body(evbuffer_get_length(input), '\0');
-    evbuffer_copyout(input, body.data(), body.size());
-    return body;
-}
-
-http_request read_request(evhttp_request* request, const std::vector<std::string>& headers) {
-    http_request r;
-    const evkeyvalq* received = evhttp_request_get_input_headers(request);
-    for (const auto& name : headers) {
-        r.headers.push_back(string_or_empty(evhttp_find_header(received, name.c_str())));
-    }
-    r.method = method_name(request);
-    if (const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request)) {
-        r.path = string_or_empty(evhttp_uri_get_path(uri));
-        r.query = string_or_empty(evhttp_uri_get_query(uri));
-    }
-    r.body = read_body(request);
-    return r;
-}
-
-void add_header(evhttp_request* request, const char* name, const std::string& value) {
-    evhttp_add_header(evhttp_request_get_output_headers(request), name, value.c_str());
+    return listener;
 }
 
 timeval to_timeval(time_ms duration) {
@@ -61,90 +59,251 @@
 } // namespace
 
 struct http_server::impl {
-    struct open_request {
-        evhttp_request* request = nullptr;
-        evhttp_connection* connection = nullptr;
-    };
-
-    evhttp* http = nullptr;
-    evhttp_bound_socket* listener = nullptr;
+    event_base* base = nullptr;
+    evconnlistener* listener = nullptr;
+    /** Closes connections that take too long; pending while there are connections. */
+    event* sweep_timer = nullptr;
+    /** Destroys closed connections, outside of their callbacks. */
+    event* cleanup = nullptr;
+    event* accept_timer = nullptr;
     bool draining = false;
-    std::uint64_t next_token = 1;
-    std::unordered_map<std::uint64_t, open_request> open;
-    std::unordered_map<evhttp_connection*, std::uint64_t> token_by_connection;
+    std::uint64_t next_id = 1;
+    std::size_t max_connections = 0;
+    std::size_t max_open_requests = 0;
+    connection_limits limits;
     std::vector<std::string> headers;
+    std::shared_ptr<client_memory> memory;
+    connection_handlers handlers;
+    std::unordered_map<std::uint64_t, std::unique_ptr<client_connection>> connections;
+    std::vector<std::unique_ptr<client_connection>> closed;
+    /** Connections by the tokens of their open requests, and the reverse. */
+    std::unordered_map<std::uint64_t, client_connection*> connection_by_token;
+    std::unordered_map<const client_connection*, std::uint64_t> token_by_connection;
+    struct abandoned_request {
+        std::size_t bytes = 0;
+        time_ms since_ms = 0;
+    };
+    /** Requests whose clients have left, but that are still being processed; by token. */
+    std::unordered_map<std::uint64_t, abandoned_request> abandoned;
+    time_ms swept_at_ms = 0;
     request_handler on_request;
     gone_handler on_gone;
+    limit_handler on_limit;
+
+    explicit impl(event_base* b) : base(b) {
+        sweep_timer = new_timer(&impl::sweep);
+        cleanup = new_timer(&impl::destroy_closed);
+        accept_timer = new_timer(&impl::resume_accepting);
+        handlers.on_request = [this](client_connection& c, const http_request& r) {
+            handle_request(c, r);
+        };
+        handlers.has_capacity = [this] {
+            return connection_by_token.size() + abandoned.size() < max_open_requests;
+        };
+        handlers.on_gone = [this](client_connection& c, std::size_t bytes) {
+            handle_gone(c, bytes);
+        };
+        handlers.on_limit = [this](client_limit l) { report(l); };
+        handlers.on_closed = [this](client_connection& c) { retire(c); };
+    }
+
+    ~impl() {
+        if (listener != nullptr) {
+            evconnlistener_free(listener);
+        }
+        connections.clear();
+        closed.clear();
+        for (const auto& [token, request] : abandoned) {
+            memory->release(request.bytes);
+        }
+        event_free(sweep_timer);
+        event_free(cleanup);
+        event_free(accept_timer);
+    }
 
-    static void connection_closed(evhttp_connection* connection, void* argument) {
-        auto* server = static_cast<impl*>(argument);
-        const auto found = server->token_by_connection.find(connection);
-        if (found == server->token_by_connection.end()) {
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    /** Returns an event that calls a member function once each time that it is scheduled. */
+    event* new_timer(void (impl::*function)()) {
+        timer_calls.push_back(std::make_unique<timer_call>(timer_call{this, function}));
+        return event_new(
+            base, -1, 0,
+            [](evutil_socket_t, short, void* argument) {
+                const auto* c = static_cast<timer_call*>(argument);
+                (c->self->*c->function)();
+            },
+            timer_calls.back().get());
+    }
+
+    struct timer_call {
+        impl* self = nullptr;
+        void (impl::*function)() = nullptr;
+    };
+    std::vector<std::unique_ptr<timer_call>> timer_calls;
+
+    void report(client_limit limit) const {
+        if (on_limit) {
+            on_limit(limit);
+        }
+    }
+
+    static void accepted(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
+                         void* argument) {
+        static_cast<impl*>(argument)->accept(descriptor);
+    }
+
+    void accept(evutil_socket_t descriptor) {
+        if (connections.size() >= max_connections && !close_one()) {
+            report(client_limit::connections);
+            evutil_closesocket(descriptor);
+            return;
+        }
+        bufferevent* stream = bufferevent_socket_new(base, descriptor, 0);
+        if (stream == nullptr) {
+            evutil_closesocket(descriptor);
             return;
         }
+        if (connections.empty() && abandoned.empty()) {
+            swept_at_ms = monotonic_now();
+            schedule(sweep_timer, sweep_interval_ms);
+        }
+        const std::uint64_t id = next_id++;
+        auto& connection = connections[id];
+        connection =
+            std::make_unique<client_connection>(stream, id, limits, headers, handlers, *memory);
+        connection->start();
+    }
+
+    /** Closes one connection for a new one; returns whether there was one to close. */
+    bool close_one() {
+        std::vector<client_connection*> candidates;
+        std::vector<connection_load> loads;
+        for (const auto& [id, connection] : connections) {
+            candidates.push_back(connection.get());
+            loads.push_back(connection->load());
+        }
+        const auto chosen = choose_for_slot(loads);
+        if (chosen) {
+            candidates[*chosen]->give_up(client_limit::connections);
+            destroy_closed();
+        }
+        return chosen.has_value();
+    }
+
+    /** Runs when a connection can't be accepted, mostly for want of descriptors. The connection
+     * stays in the backlog, so the listener would report it again at once. */
+    static void accept_failed(evconnlistener* listener, void* argument) {
+        auto* self = static_cast<impl*>(argument);
+        evconnlistener_disable(listener);
+        self->report(client_limit::descriptors);
+        self->schedule(self->accept_timer, accept_pause_ms);
+    }
+
+    void resume_accepting() {
+        if (listener != nullptr) {
+            evconnlistener_enable(listener);
+        }
+    }
+
+    static void schedule(event* timer, time_ms delay_ms) {
+        const timeval delay = to_timeval(delay_ms);
+        event_add(timer, &delay);
+    }
+
+    void handle_request(client_connection& connection, const http_request& request) {
+        const std::uint64_t token = next_id++;
+        connection_by_token[token] = &connection;
+        token_by_connection[&connection] = token;
+        on_request(request, token);
+    }
+
+    /** Forgets the open request of a connection; returns its token. */
+    std::uint64_t forget_request(const client_connection& connection) {
+        const auto found = token_by_connection.find(&connection);
         const std::uint64_t token = found->second;
-        server->token_by_connection.erase(found);
-        const auto request = server->open.find(token);
-        if (request != server->open.end()) {
-            server->free_if_detached(request->second);
-            server->open.erase(request);
+        token_by_connection.erase(found);
+        connection_by_token.erase(token);
+        return token;
+    }
+
+    void handle_gone(const client_connection& connection, std::size_t bytes) {
+        const std::uint64_t token = forget_request(connection);
+        if (on_gone) {
+            on_gone(token);
+        } else if (bytes > 0) {
+            abandoned[token] = {bytes, monotonic_now()};
+            memory->hold(bytes);
         }
-        if (server->on_gone) {
-            server->on_gone(token);
+    }
+
+    /** Ends the account of a request whose client has left. */
+    void release_abandoned(std::uint64_t token) {
+        const auto found = abandoned.find(token);
+        if (found != abandoned.end()) {
+            memory->release(found->second.bytes);
+            abandoned.erase(found);
         }
     }
 
-    /** Frees a request that is detached from its connection; evhttp frees the others with their
-     * connections. */
-    static void free_if_detached(const open_request& request) {
-        if (evhttp_request_get_connection(request.request) == nullptr) {
-            evhttp_request_free(request.request);
+    void expire_abandoned(time_ms now) {
+        std::vector<std::uint64_t> expired;
+        for (const auto& [token, request] : abandoned) {
+            if (now - request.since_ms > max_abandoned_ms) {
+                expired.push_back(token);
+            }
+        }
+        for (const std::uint64_t token : expired) {
+            release_abandoned(token);
         }
     }
 
-    static void request_received(evhttp_request* request, void* argument) {
-        auto* server = static_cast<impl*>(argument);
-        const std::uint64_t token = server->next_token++;
-        evhttp_connection* connection = evhttp_request_get_connection(request);
-        server->open[token] = {request, connection};
-        server->token_by_connection[connection] = token;
-        evhttp_connection_set_closecb(connection, connection_closed, server);
-        server->on_request(read_request(request, server->headers), token);
+    void retire(const client_connection& connection) {
+        const auto found = connections.find(connection.id());
+        closed.push_back(std::move(found->second));
+        connections.erase(found);
+        event_active(cleanup, EV_TIMEOUT, 0);
     }
 
-    void respond(std::uint64_t token, const http_response& response) {
-        const auto found = open.find(token);
-        if (found == open.end()) {
-            return;
+    void destroy_closed() { closed.clear(); }
+
+    void sweep() {
+        const time_ms now = monotonic_now();
+        // Time in which this process wasn't run isn't the clients'.
+        const time_ms missed_ms = now - swept_at_ms - 2 * sweep_interval_ms;
+        swept_at_ms = now;
+        std::vector<client_connection*> all;
+        for (const auto& [id, connection] : connections) {
+            all.push_back(connection.get());
+        }
+        for (client_connection* connection : all) {
+            if (missed_ms > 0) {
+                connection->extend_phase(missed_ms);
+            }
+            connection->check_timeouts(now);
         }
-        evhttp_request* request = found->second.request;
-        token_by_connection.erase(found->second.connection);
-        open.erase(found);
-        add_header(request, "Content-Type", response.content_type);
-        if (response.retry_after_ms > 0) {
-            const time_ms seconds =
-                (response.retry_after_ms + milliseconds_per_second - 1) / milliseconds_per_second;
-            add_header(request, "Retry-After", std::to_string(seconds));
+        expire_abandoned(now);
+        if (!connections.empty() || !abandoned.empty()) {
+            schedule(sweep_timer, sweep_interval_ms);
         }
-        if (draining || response.close_connection) {
-            add_header(request, "Connection", "close");
+    }
+
+    void respond(std::uint64_t token, const http_response& response) {
+        const auto found = connection_by_token.find(token);
+        if (found == connection_by_token.end()) {
+            release_abandoned(token);
+            return;
         }
-        evbuffer_add(evhttp_request_get_output_buffer(request), response.body.data(),
-                     response.body.size());
-        evhttp_send_reply(request, response.status, nullptr, nullptr);
+        client_connection& connection = *found->second;
+        forget_request(connection);
+        connection.respond(response, draining || response.close_connection);
     }
 };
 
 http_server::http_server(std::unique_ptr<impl> i) : impl_(std::move(i)) {}
 
 http_server::~http_server() {
-    stop_listening();
     impl_->on_gone = nullptr;
-    for (auto& [token, request] : impl_->open) {
-        impl_->free_if_detached(request);
-    }
-    impl_->open.clear();
-    evhttp_free(impl_->http);
 }
 
 void http_server::respond(std::uint64_t token, const http_response& response) {
@@ -158,43 +317,21 @@
 void http_server::stop_listening() {
     drain();
     if (impl_->listener != nullptr) {
-        evhttp_del_accept_socket(impl_->http, impl_->listener);
+        evconnlistener_free(impl_->listener);
         impl_->listener = nullptr;
     }
 }
 
 std::size_t http_server::open_requests() const {
-    return impl_->open.size();
+    return impl_->connection_by_token.size();
 }
 
-http_server::Builder& http_server::Builder::address(std::string value) {
-    address_ = std::move(value);
-    return *this;
+std::size_t http_server::open_connections() const {
+    return impl_->connections.size();
 }
 
-http_server::Builder& http_server::Builder::max_body_bytes(std::uint64_t value) {
-    max_body_bytes_ = value;
-    return *this;
-}
-
-http_server::Builder& http_server::Builder::read_timeout_ms(time_ms value) {
-    read_timeout_ms_ = value;
-    return *this;
-}
-
-http_server::Builder& http_server::Builder::header(std::string name) {
-    headers_.push_back(std::move(name));
-    return *this;
-}
-
-http_server::Builder& http_server::Builder::on_request(request_handler value) {
-    on_request_ = std::move(value);
-    return *this;
-}
-
-http_server::Builder& http_server::Builder::on_gone(gone_handler value) {
-    on_gone_ = std::move(value);
-    return *this;
+void http_server::set_max_body_bytes(std::uint64_t value) {
+    impl_->limits.request.max_body_bytes = value;
 }
 
 result<std::unique_ptr<http_server>> http_server::Builder::build(event_loop& loop) {
@@ -202,87 +339,24 @@
     if (!parsed) {
         return parsed.error();
     }
-    auto i = std::make_unique<impl>();
+    auto i = std::make_unique<impl>(loop.base());
+    i->max_connections = max_connections_;
+    i->max_open_requests = max_open_requests_;
+    i->limits.request = {max_head_bytes_, max_body_bytes_};
+    i->limits.idle_timeout_ms = read_timeout_ms_;
+    i->limits.transfer_timeout_ms = transfer_timeout_ms_;
     i->headers = std::move(headers_);
+    i->memory = memory_ ? memory_ : std::make_shared<client_memory>(default_memory_bytes);
     i->on_request = std::move(on_request_);
     i->on_gone = std::move(on_gone_);
-    i->http = evhttp_new(loop.base());
-    evhttp_set_allowed_methods(i->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
-                                            EVHTTP_REQ_DELETE);
-    evhttp_set_gencb(i->http, impl::request_received, i.get());
-    evhttp_set_max_body_size(i->http, static_cast<ev_ssize_t>(max_body_bytes_));
-    const timeval timeout = to_timeval(read_timeout_ms_);
-    evhttp_set_timeout_tv(i->http, &timeout);
-    const socket_address& where = parsed.value();
-    i->listener = evhttp_bind_socket_with_handle(i->http, where.ip.c_str(), where.port);
+    i->on_limit = std::move(on_limit_);
+    i->listener = listen_on(loop.base(), parsed.value(), impl::accepted, i.get());
     if (i->listener == nullptr) {
-        evhttp_free(i->http);
         return error{error_kind::unavailable, "cannot listen on " + address_,
                      "free the port or change the address in the settings"};
     }
+    evconnlistener_set_error_cb(i->listener, impl::accept_failed);
     return std::unique_ptr<http_server>(new http_server(std::move(i)));
 }
 
-http_response empty_response(int status) {
-    http_response response;
-    response.status = status;
-    response.body = "{}";
-    return response;
-}
-
-std::string query_value(std::string_view query, std::string_view key) {
-    std::size_t start = 0;
-    while (start < query.size()) {
-        const std::size_t end = std::min(query.find('&', start), query.size());
-        const std::string_view pair = query.substr(start, end - start);
-        const std::size_t equals = pair.find('=');
-        if (equals != std::string_view::npos && pair.substr(0, equals) == key) {
-            const std::string raw(pair.substr(equals + 1));
-            std::size_t size = 0;
-            char* decoded = evhttp_uridecode(raw.c_str(), 1, &size);
-            std::string value = decoded == nullptr ? raw : std::string(decoded, size);
-            free(decoded);
-            return value;
-        }
-        start = end + 1;
-    }
-    return "";
-}
-
-std::optional<std::string> path_argument(const http_request& request, std::string_view prefix) {
-    if (!request.path.starts_with(prefix) || request.path.size() == prefix.size()) {
-        return std::nullopt;
-    }
-    return request.path.substr(prefix.size());
-}
-
-std::int64_t query_number(std::string_view query, std::string_view key, std::int64_t fallback) {
-    const std::string text = query_value(query, key);
-    std::int64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-    return whole && !text.empty() ? value : fallback;
-}
-
-result<socket_address> parse_address(std::string_view text) {
-    const std::size_t colon = text.rfind(':');
-    const std::string_view port_text =
-        colon == std::string_view::npos ? "" : text.substr(colon + 1);
-    socket_address address;
-    const auto parsed =
-        std::from_chars(port_text.data(), port_text.data() + port_text.size(), address.port);
-    if (colon != std::string_view::npos) {
-        address.ip = std::string(text.substr(0, colon));
-    }
-    // The host name in a text that is no IP address would be looked up while the event loop waits.
-    in_addr ip = {};
-    if (inet_pton(AF_INET, address.ip.c_str(), &ip) != 1 ||
-        address.ip.find('\0') != std::string::npos || parsed.ec != std::errc() ||
-        parsed.ptr != port_text.data() + port_text.size()) {
-        return error{error_kind::invalid_argument, log_text(text) + " is no address",
-                     "write IP:PORT, such as 127.0.0.1:8080"};
-    }
-    return address;
-}
-
 } // namespace fulmarworks
