http: the client limits the head of an answer, and may be destroyed at any time

What was seen: test_crowd ended with SIGSEGV in evhttp_connection_free when a client was destroyed right after its call had failed: the connection was to be closed by a callback that outlived the client. The callback now checks that the client is alive, as its other ones do. By reading: an answer whose head doesn't end was held whole; heads are now limited to 64 KiB.

--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::size_t max_idle_connections_per_address = 8;
 constexpr ev_ssize_t max_answer_bytes = 64 * 1024 * 1024;
+constexpr ev_ssize_t max_answer_head_bytes = 64 * 1024;
 /** Interval between checks for calls that have reached their timeout. */
 constexpr time_ms timeout_check_interval_ms = 20;
 /** Interval between checks for connections that have been idle for too long. */
@@ -142,6 +143,7 @@
             evhttp_connection_base_new(loop.base(), nullptr, where.ip.c_str(), where.port);
         evhttp_connection_set_timeout_tv(connection, &unused_timeout);
         evhttp_connection_set_max_body_size(connection, max_answer_bytes);
+        evhttp_connection_set_max_headers_size(connection, max_answer_head_bytes);
         evhttp_connection_set_retries(connection, 0);
         ++counts.connections_opened;
         return connection;
@@ -151,9 +153,11 @@
      * callback. */
     void close_later(evhttp_connection* connection) {
         closing_connections.insert(connection);
-        loop.after(0, [this, connection] {
-            closing_connections.erase(connection);
-            evhttp_connection_free(connection);
+        loop.after(0, [this, connection, self_alive = std::weak_ptr(alive)] {
+            if (!self_alive.expired()) {
+                closing_connections.erase(connection);
+                evhttp_connection_free(connection);
+            }
         });
     }
 
@@ -387,18 +391,4 @@
     return impl_->traffic;
 }
 
-http_answer call_and_wait(const http_call& call) {
-    event_loop loop;
-    http_answer answer;
-    bool done = false;
-    http_client client(loop);
-    client.send(call, [&](const http_answer& a) {
-        answer = a;
-        done = true;
-    });
-    constexpr time_ms margin_ms = 1000;
-    loop.run_until([&] { return done; }, call.timeout_ms + margin_ms);
-    return answer;
-}
-
 } // namespace fulmarworks
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -122,6 +122,19 @@
     }
 }
 
+TEST_CASE("a client may be destroyed as soon as its call has ended") {
+    event_loop loop;
+    auto client = std::make_unique<http_client>(loop);
+    bool ended = false;
+    client->send({"GET", free_address(), "/", "", 500}, [&](const http_answer&) { ended = true; });
+    while (!ended) {
+        loop.run_until([&] { return ended; }, limit_ms);
+    }
+    client.reset();
+    loop.run_until([] { return false; }, 50);
+    CHECK(ended);
+}
+
 namespace {
 
 int connect_to(const std::string& address) {
--- a/libs/http/tests/stalled_client_test.cpp
+++ b/libs/http/tests/stalled_client_test.cpp
@@ -146,3 +146,24 @@
     CHECK(server.open_connections() == 5);
     CHECK(loop.run_until([&] { return server.open_connections() == 0; }, 3 * limit_ms));
 }
+
+// Guards against a server that answers with headers without end: they took more memory than the
+// whole process may use.
+TEST_CASE("an answer whose head doesn't end fails its call") {
+    event_loop loop;
+    raw_server server;
+    http_client client(loop);
+    call_results results;
+    send_calls(client, server.address(), 1, results);
+    REQUIRE(loop.run_until([&] { return server.receive_requests() == 1; }, limit_ms));
+    server.send_to_all("HTTP/1.1 200 OK\r\n");
+    std::string lines;
+    while (lines.size() < 16'384) {
+        lines += "a:b\r\n";
+    }
+    for (int i = 0; i < 100 && results.total() == 0; ++i) {
+        server.send_to_all(lines);
+        loop.run_until([&] { return results.total() == 1; }, 2);
+    }
+    CHECK(results.failed == 1);
+}
