node: the ports of an entry host share limits of memory and descriptors

What callers saw: 600 connections that each held a body of the permitted size but for its last byte took 154 MB on any port of an entry host; 600 that were idle took 624 descriptors; 600 requests for the configuration (2 MB) that nobody read took 1,313 MB. Large submissions while the store was silent took 86 MB, and 236 MB when their callers left at once and had stated a deadline of 285,000 years, which the host kept to. 256 starts a batch that a stranger sends to the internal port took 2,080 descriptors.

Cause: limits of a connection don't bound a process, and work that a client had begun went on, uncounted, after the client had left.

An entry host knows its memory and descriptors (memory_mb, max_open_files, filled in from the platform's settings) and derives from them what clients may take on all ports together, checked at the start: client_memory_mb, max_caller_connections, max_open_calls, max_relayed_starts. A call or body counts until it is answered, also when its caller has left. The operator's maxBodyBytes holds before a body is read. Limits that are applied show as client_limits_total by port and limit, and as one log line a second for each.

The list of members, the operator's requests and the responses to callers move to files of their own.

--- a/libs/node/include/node/node_settings.h
+++ b/libs/node/include/node/node_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "node/resource_limits.h"
 #include "scheduler/settings.h"
 
 #include <cstdint>
@@ -33,6 +34,8 @@
     /** Time within which a published configuration must be in force on every entry host. */
     time_ms configuration_bound_ms = 2000;
     scheduler::settings limits;
+    /** Applied at the start of the process. */
+    resource_limits resources;
 
     /** Returns IP:PORT for calls between entry hosts. */
     [[nodiscard]] std::string internal_address() const;
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -2,12 +2,12 @@
 
 #include "base/json.h"
 #include "callback_owner.h"
+#include "caller_responses.h"
 #include "platform/documents.h"
 #include "scheduler/codec.h"
 #include "timing.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -15,8 +15,6 @@
 
 namespace {
 
-/** Caller timeout if the request does not state one. */
-constexpr time_ms default_caller_timeout_ms = 3000;
 /** Part of the caller timeout that is reserved for the network delay of the answer. */
 constexpr time_ms response_margin_ms = 300;
 /** Longest time for which a call to the leader is retried; the caller can then try another host. */
@@ -26,8 +24,6 @@
 constexpr time_ms refused_retry_time_ms = 500;
 /** Timeout of one call that is forwarded to the leader. */
 constexpr time_ms forward_timeout_ms = 700;
-/** Shortest Retry-After of a refused request: about the time that a change of leader takes. */
-constexpr time_ms min_retry_after_ms = 1000;
 /** Longest Retry-After of a refused request: acceptable to a person who waits for the answer. */
 constexpr time_ms max_retry_after_ms = 4000;
 /** Shortest timeout of an attempt; an attempt with less time would hardly succeed. */
@@ -38,49 +34,6 @@
 constexpr std::string_view cancel_path = "/v1/leader/cancel/";
 constexpr std::string_view pending_path = "/v1/leader/pending/";
 
-time_ms caller_timeout_of(const http_request& request) {
-    const std::string& text = request.headers[caller_timeout];
-    time_ms value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    return parsed.ec == std::errc() && value > 0 ? value : default_caller_timeout_ms;
-}
-
-/** Status 503: the request has not been executed. */
-http_response unavailable(time_ms retry_after_ms = min_retry_after_ms) {
-    http_response response = empty_response(503);
-    response.retry_after_ms = retry_after_ms;
-    response.close_connection = true;
-    return response;
-}
-
-/** Status 504: the request may or may not have been executed; the caller may send it again. */
-http_response outcome_unknown() {
-    http_response response = empty_response(504);
-    response.close_connection = true;
-    return response;
-}
-
-http_response state_response(const job_answer& answer) {
-    if (!answer.ready) {
-        return unavailable();
-    }
-    if (!answer.known) {
-        return empty_response(410);
-    }
-    http_response response;
-    response.body = answer.state.empty() ? "{}" : json({{"state", answer.state}}).dump();
-    return response;
-}
-
-http_response pending_response(const leader* term, const std::string& queue) {
-    if (term == nullptr || !term->ready()) {
-        return unavailable();
-    }
-    http_response response;
-    response.body = json({{"pending", term->pending(queue)}}).dump();
-    return response;
-}
-
 } // namespace
 
 struct caller_api::impl : callback_owner<impl> {
@@ -354,6 +307,10 @@
         impl_->refuse("host_stopping", "-", impl_->retry_later(), respond);
         return;
     }
+    if (impl_->open_calls.size() >= impl_->context.max_open_calls) {
+        impl_->refuse("too_many_calls", "-", unavailable(), respond);
+        return;
+    }
     const auto config = impl_->context.configuration();
     const gateway::request_head line{request.method, request.headers[caller_host], request.path,
                                      request.headers[caller_key]};
--- a/libs/node/src/caller_api.h
+++ b/libs/node/src/caller_api.h
@@ -34,6 +34,8 @@
     std::function<std::string()> leader_address;
     /** Called when that host doesn't answer as the leader. */
     std::function<void()> refresh_leader;
+    /** Calls without an answer, also of callers that have left; further ones are refused. */
+    std::size_t max_open_calls = 0;
 };
 
 /**
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -1,19 +1,19 @@
 #include "node/entry_node.h"
 
-#include "base/log_line.h"
 #include "callback_owner.h"
 #include "caller_api.h"
+#include "client_ports.h"
 #include "configuration_view.h"
 #include "leader.h"
 #include "leader_elector.h"
 #include "loop_monitor.h"
-#include "member_entry.h"
+#include "member_list.h"
+#include "operator_requests.h"
 #include "peers.h"
 #include "platform/headers.h"
 #include "start_relay.h"
 #include "stop_schedule.h"
 #include "sustained_delay.h"
-#include "topic_follower.h"
 #include "traffic_report.h"
 #include "worker_speed_metrics.h"
 
@@ -25,8 +25,6 @@
 
 /** Interval of the periodic work of an entry host. */
 constexpr time_ms tick_ms = 25;
-/** Interval between reads of the list of entry hosts, and between attempts to register in it. */
-constexpr time_ms member_interval_ms = 3000;
 /** Partitions over which submissions are spread, if the store allows as many: with these, a store
  * whose appends take 50 ms accepts 160 jobs a second. */
 constexpr std::uint32_t max_submission_partitions = 8;
@@ -51,11 +49,12 @@
     metrics counters;
     http_client http;
     platform::store_client store;
+    client_ports ports;
 
     std::unique_ptr<configuration_view> operator_view;
     std::unique_ptr<leader_elector> elector;
-    std::unique_ptr<topic_follower> member_follower;
     std::unique_ptr<peers> peer_hosts;
+    std::unique_ptr<member_list> members;
     payload_cache payloads{max_payload_cache_bytes};
     std::unique_ptr<start_relay> relay;
     std::unique_ptr<leader> term;
@@ -75,51 +74,48 @@
 
     impl(event_loop& l, const node_settings& s)
         : loop(l), settings(s), log(s.name), http(l),
-          store(http, s.store_address, std::min(s.store_partitions, max_submission_partitions)) {}
+          store(http, s.store_address, std::min(s.store_partitions, max_submission_partitions)),
+          ports(s.resources, log, counters) {}
 
-    result<void> listen() {
-        auto caller = http_server::Builder()
-                          .address(settings.caller_address)
-                          .header(platform::host_header)
-                          .header(platform::api_key_header)
-                          .header(platform::caller_timeout_header)
-                          .max_body_bytes(1024 * 1024)
-                          .read_timeout_ms(60 * milliseconds_per_second)
-                          .on_request([this](const http_request& request, std::uint64_t token) {
-                              api->handle(request, [this, token](const http_response& r) {
-                                  caller_server->respond(token, r);
-                              });
-                          })
-                          .build(loop);
-        if (!caller) {
-            return caller.error();
+    result<void> open(http_server::Builder& builder, std::unique_ptr<http_server>& server) {
+        auto built = builder.build(loop);
+        if (!built) {
+            return built.error();
         }
-        caller_server = std::move(caller.value());
-        auto readiness = http_server::Builder()
-                             .address(settings.readiness_address)
-                             .read_timeout_ms(60 * milliseconds_per_second)
-                             .on_request([this](const http_request&, std::uint64_t token) {
-                                 http_response response;
-                                 response.status = ready() ? 200 : 503;
-                                 readiness_server->respond(token, response);
-                             })
-                             .build(loop);
-        if (!readiness) {
-            return readiness.error();
+        server = std::move(built.value());
+        return boost::outcome_v2::success();
+    }
+
+    result<void> listen() {
+        auto callers = ports.builder(client_port::callers);
+        callers.address(settings.caller_address)
+            .header(platform::host_header)
+            .header(platform::api_key_header)
+            .header(platform::caller_timeout_header)
+            .on_request([this](const http_request& request, std::uint64_t token) {
+                api->handle(request, [this, token](const http_response& r) {
+                    caller_server->respond(token, r);
+                });
+            });
+        auto probes = ports.builder(client_port::readiness);
+        probes.address(settings.readiness_address)
+            .on_request([this](const http_request&, std::uint64_t token) {
+                http_response response;
+                response.status = ready() ? 200 : 503;
+                readiness_server->respond(token, response);
+            });
+        auto hosts = ports.builder(client_port::internal);
+        hosts.address(settings.internal_address())
+            .on_request([this](const http_request& request, std::uint64_t token) {
+                handle_internal(request, token);
+            });
+        if (auto opened = open(callers, caller_server); !opened) {
+            return opened;
         }
-        readiness_server = std::move(readiness.value());
-        auto internal = http_server::Builder()
-                            .address(settings.internal_address())
-                            .read_timeout_ms(60 * milliseconds_per_second)
-                            .on_request([this](const http_request& request, std::uint64_t token) {
-                                handle_internal(request, token);
-                            })
-                            .build(loop);
-        if (!internal) {
-            return internal.error();
+        if (auto opened = open(probes, readiness_server); !opened) {
+            return opened;
         }
-        internal_server = std::move(internal.value());
-        return boost::outcome_v2::success();
+        return open(hosts, internal_server);
     }
 
     void start() {
@@ -128,11 +124,13 @@
             [this](std::uint64_t known) { return own_view(known); },
             [this](const store_view& view, time_ms sent_at) { apply_view(view, sent_at); },
             [this] { return operator_view->version(); }});
-        relay = std::make_unique<start_relay>(http, payloads, counters);
+        relay = std::make_unique<start_relay>(http, payloads, counters,
+                                              settings.resources.max_relayed_starts);
         api = std::make_unique<caller_api>(caller_context{
             loop, http, store, log, counters, [this] { return valid_configuration(); },
             settings.internal_address(), payloads, *peer_hosts, [this] { return term.get(); },
-            [this] { return leader_address(elector->state()); }, [this] { elector->refresh(); }});
+            [this] { return leader_address(elector->state()); }, [this] { elector->refresh(); },
+            settings.resources.max_open_calls});
         operator_view = std::make_unique<configuration_view>(configuration_view_context{
             loop, store, log, [this] { update_requests(); }, [this] { update_requests(); },
             [this](bool ok) { update_store_reachable(ok); }});
@@ -143,8 +141,8 @@
                        max_candidates;
             },
             [this] { update_term(); }});
-        follow_members();
-        register_member();
+        members = std::make_unique<member_list>(member_list_context{
+            loop, store, log, *peer_hosts, settings.internal_address(), settings.cpu_share});
         run_after(loop, tick_ms, [](impl& i) { i.tick(); });
         run_after(loop, traffic_log_interval_ms, [](impl& i) { i.log_traffic(); });
     }
@@ -171,41 +169,6 @@
         }
     }
 
-    void follow_members() {
-        follower_options options;
-        options.log_topic = platform::topic::members;
-        options.wait_ms = 0;
-        options.pause_ms = member_interval_ms;
-        options.on_record = [this](const auto& record) { apply_member(record); };
-        member_follower = std::make_unique<topic_follower>(loop, store, std::move(options));
-    }
-
-    void apply_member(const platform::logged_record& record) {
-        if (record.value.empty()) {
-            return; // members aren't removed; those that don't answer are chosen last
-        }
-        const auto member = decode_member(record);
-        if (member) {
-            peer_hosts->add_member(member.value().address, member.value().cpu_share);
-        } else {
-            log.write("member_entry_unreadable", "key=" + log_text(record.key) + " error=\"" +
-                                                     describe(member.error()) + "\"");
-        }
-    }
-
-    /** Stores this host's address and processor share, by which other hosts find it. */
-    void register_member() {
-        platform::append_request request;
-        request.log_topic = platform::topic::members;
-        request.records = {{settings.internal_address(), std::to_string(settings.cpu_share)}};
-        store.append(request, guarded([](impl& i, const platform::append_outcome& outcome) {
-                         if (outcome.status != platform::store_status::ok) {
-                             i.run_after(i.loop, member_interval_ms,
-                                         [](impl& self) { self.register_member(); });
-                         }
-                     }));
-    }
-
     bool ready() const { return !stopping && valid_configuration() != nullptr; }
 
     /** Logs the traffic of this host while it leads. */
@@ -220,6 +183,10 @@
         if (request.path == "/metrics") {
             counters.set("leader", is_leader(elector->state()) ? 1 : 0);
             counters.set("store_calls", static_cast<double>(store.calls_sent()));
+            counters.set("open_calls", static_cast<double>(caller_server->open_requests()));
+            counters.set("caller_connections",
+                         static_cast<double>(caller_server->open_connections()));
+            ports.export_memory();
             export_traffic(http.traffic(), counters);
             export_worker_speeds(term ? term->state() : nullptr, counters);
             http_response response;
@@ -243,20 +210,13 @@
         }
     }
 
-    operator_requests requests() const {
-        const auto& configuration = operator_view->newest();
-        operator_requests newest;
-        newest.evacuated_domains = operator_view->evacuated_domains();
-        if (configuration) {
-            newest.guarantees = configuration->guarantees;
-            newest.queues = queue_policies_of(*configuration);
-        }
-        return newest;
-    }
-
     void update_requests() {
+        if (const auto& configuration = operator_view->newest()) {
+            caller_server->set_max_body_bytes(std::min<std::uint64_t>(
+                settings.resources.max_body_bytes, configuration->max_body_bytes));
+        }
         if (term) {
-            term->set_requests(requests());
+            term->set_requests(make_operator_requests(*operator_view));
         }
     }
 
@@ -267,8 +227,8 @@
                 leader_context{loop, http, store, log, counters, *peer_hosts, settings.link_mbps,
                                settings.limits,
                                [this](time_ms at) { return may_act(elector->state(), at); }},
-                elector->state().epoch, elector->state().earlier_orders_until_ms, requests(),
-                [this] { resign(elector->state()); });
+                elector->state().epoch, elector->state().earlier_orders_until_ms,
+                make_operator_requests(*operator_view), [this] { resign(elector->state()); });
             term_delay.reset(boottime_now());
         } else if (!is_leader(elector->state()) && term) {
             const leadership_state& lease = elector->state();
@@ -327,6 +287,7 @@
         if (store.unavailable()) {
             peer_hosts->refresh_view();
         }
+        ports.log_applied_limits(monotonic_now());
         log.flush();
         if (stopping) {
             continue_stop();
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -50,6 +50,18 @@
         }
     }
 
+    void at_least(const char* key, double value, double limit) {
+        if (value < limit) {
+            const std::string problem = "must be at least " + std::to_string(std::lround(limit));
+            add_error(key, problem.c_str());
+        }
+    }
+
+    void within(const char* key, double value, double low, double high) {
+        at_least(key, value, low);
+        at_most(key, value, high);
+    }
+
     void seconds(const char* key, time_ms& value) {
         double in_seconds = static_cast<double>(value) / milliseconds_per_second;
         positive(key, in_seconds);
@@ -87,6 +99,42 @@
     std::string errors_;
 };
 
+/** Reads the limits of memory and descriptors. What a setting doesn't state follows from
+ * `memory_mb` and `max_open_files`. */
+resource_limits read_resource_limits(settings_reader& r) {
+    constexpr double min_memory_mb = 16;
+    constexpr double max_memory_mb = 1024 * 1024;
+    constexpr double min_open_files = 64;
+    constexpr double max_open_files = 1024 * 1024;
+    constexpr double bytes_per_mb = 1024 * 1024;
+    resource_limits stated;
+    r.positive("memory_mb", stated.memory_mb);
+    r.within("memory_mb", static_cast<double>(stated.memory_mb), min_memory_mb, max_memory_mb);
+    r.positive("max_open_files", stated.max_open_files);
+    r.within("max_open_files", static_cast<double>(stated.max_open_files), min_open_files,
+             max_open_files);
+    resource_limits limits = make_resource_limits(stated.memory_mb, stated.max_open_files);
+    r.positive("client_memory_mb", limits.client_memory_mb);
+    r.at_most("client_memory_mb", static_cast<double>(limits.client_memory_mb),
+              static_cast<double>(limits.memory_mb) / 2);
+    r.positive("job_memory_mb", limits.job_memory_mb);
+    r.at_most("job_memory_mb", static_cast<double>(limits.job_memory_mb),
+              static_cast<double>(limits.memory_mb) / 2);
+    const double client_bytes = static_cast<double>(limits.client_memory_mb) * bytes_per_mb;
+    r.positive("max_head_bytes", limits.max_head_bytes);
+    r.within("max_head_bytes", static_cast<double>(limits.max_head_bytes), 1024, client_bytes / 4);
+    r.positive("max_body_bytes", limits.max_body_bytes);
+    r.at_most("max_body_bytes", static_cast<double>(limits.max_body_bytes), client_bytes / 4);
+    r.seconds("max_transfer_s", limits.max_transfer_ms);
+    const double descriptors = static_cast<double>(limits.max_open_files);
+    r.positive("max_caller_connections", limits.max_caller_connections);
+    r.at_most("max_caller_connections", static_cast<double>(limits.max_caller_connections),
+              descriptors / 4);
+    r.positive("max_open_calls", limits.max_open_calls);
+    r.at_most("max_open_calls", static_cast<double>(limits.max_open_calls), descriptors / 8);
+    return limits;
+}
+
 } // namespace
 
 std::string node_settings::internal_address() const {
@@ -129,6 +177,7 @@
     r.positive("reclaim_ms", s.limits.reclaim_ms);
     r.positive("remote_factor", s.limits.remote_factor);
     r.seconds("status_retention_s", s.limits.status_retention_ms);
+    s.resources = read_resource_limits(r);
     r.boolean("learned_run_times", s.limits.learned_run_times);
     r.boolean("learned_worker_speeds", s.limits.learned_worker_speeds);
     if (!r.errors().empty()) {
--- a/libs/node/src/start_relay.cpp
+++ b/libs/node/src/start_relay.cpp
@@ -39,8 +39,10 @@
 
 } // namespace
 
-start_relay::start_relay(http_client& http, payload_cache& payloads, metrics& counters)
-    : process_(make_process_name()), workers_(http), payloads_(payloads), counters_(counters) {}
+start_relay::start_relay(http_client& http, payload_cache& payloads, metrics& counters,
+                         std::size_t max_open_starts)
+    : process_(make_process_name()), workers_(http), payloads_(payloads), counters_(counters),
+      max_open_starts_(max_open_starts) {}
 
 clock_reading start_relay::clock() const {
     return {process_, boottime_now()};
@@ -55,6 +57,11 @@
                         batch.receiver == process_ ? "late" : "other_process");
         return nullptr;
     }
+    if (*open_starts_ >= max_open_starts_) {
+        outcome = {start_outcome::refused, scheduler::order_failure::not_sent};
+        counters_.count("relayed_starts_total", "outcome", "too_many");
+        return nullptr;
+    }
     const std::string* payload = payloads_.find(order.task.job);
     counters_.count("relayed_starts_total", "outcome",
                     payload == nullptr ? "payload_missing" : "sent");
@@ -89,11 +96,14 @@
         order.payload = *payload;
         order.send_until_ms = batch.send_until_ms;
         ++open->unanswered;
-        workers_.start(order, [open, i](const scheduler::start_answered& answer) {
-            open->results[i] = to_result(answer);
-            --open->unanswered;
-            open->answer_if_complete();
-        });
+        ++*open_starts_;
+        workers_.start(order,
+                       [open, i, count = open_starts_](const scheduler::start_answered& answer) {
+                           --*count;
+                           open->results[i] = to_result(answer);
+                           --open->unanswered;
+                           open->answer_if_complete();
+                       });
     }
     open->answer_if_complete();
     return true;
--- a/libs/node/src/start_relay.h
+++ b/libs/node/src/start_relay.h
@@ -8,6 +8,7 @@
 #include "start_batch.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace fulmarworks::node {
@@ -25,8 +26,10 @@
  */
 class start_relay {
 public:
-    /** Precondition: all references outlive the relay. */
-    start_relay(http_client& http, payload_cache& payloads, metrics& counters);
+    /** Sends at most `max_open_starts` at a time; others are not sent. Precondition: all references
+     * outlive the relay. */
+    start_relay(http_client& http, payload_cache& payloads, metrics& counters,
+                std::size_t max_open_starts = 256);
 
     /** Returns this process and its clock. */
     [[nodiscard]] clock_reading clock() const;
@@ -46,6 +49,9 @@
     platform::worker_client workers_;
     payload_cache& payloads_;
     metrics& counters_;
+    std::size_t max_open_starts_;
+    /** Starts whose workers have not answered; shared with the callbacks of their calls. */
+    std::shared_ptr<std::size_t> open_starts_ = std::make_shared<std::size_t>(0);
 };
 
 } // namespace fulmarworks::node
--- a/tests/crowd/crowd.cpp
+++ b/tests/crowd/crowd.cpp
@@ -81,6 +81,9 @@
     } else {
         text = {};
     }
+    if (plan_.bytes_per_connection > 0) {
+        text = text.substr(0, plan_.bytes_per_connection - c.sent_on_connection);
+    }
     return text.substr(0, plan_.max_bytes - std::min(plan_.max_bytes, c.sent));
 }
 
@@ -117,7 +120,8 @@
             if (first || again) {
                 open(c);
             }
-        } else if (!read_available(c)) {
+        } else if (!read_available(c) || (plan_.bytes_per_connection > 0 &&
+                                          c.sent_on_connection >= plan_.bytes_per_connection)) {
             close(c);
         }
         if (c.descriptor >= 0) {
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -25,6 +25,8 @@
     std::size_t bytes_per_step = 256 * 1024;
     /** Whether clients read what the server sends. */
     bool reads = false;
+    /** Bytes after which a client closes its connection; 0 if it keeps it. */
+    std::size_t bytes_per_connection = 0;
     /** Whether a client whose connection has ended opens another, within `max_connections`. */
     bool reconnects = true;
     /** Connections that all clients open together at most. */
--- a/tests/crowd/crowded_host.cpp
+++ b/tests/crowd/crowded_host.cpp
@@ -80,19 +80,24 @@
     loop_.run_until([] { return false; }, duration_ms);
 }
 
+http_answer crowded_host::ask(const http_call& call) {
+    http_client client(loop_);
+    http_answer answer;
+    bool done = false;
+    client.send(call, [&](const http_answer& a) {
+        answer = a;
+        done = true;
+    });
+    loop_.run_until([&] { return done; }, 2 * call.timeout_ms);
+    observe();
+    return answer;
+}
+
 bool crowded_host::call_until_served(http_call call) {
     const time_ms end = monotonic_now() + served_limit_ms;
     call.timeout_ms = 2 * caller_timeout_ms;
     while (monotonic_now() < end && is_alive()) {
-        http_client client(loop_);
-        http_answer answer;
-        bool done = false;
-        client.send(call, [&](const http_answer& a) {
-            answer = a;
-            done = true;
-        });
-        loop_.run_until([&] { return done; }, 2 * call.timeout_ms);
-        observe();
+        const http_answer answer = ask(call);
         if (answer.status == 200) {
             return true;
         }
--- a/tests/crowd/crowded_host.h
+++ b/tests/crowd/crowded_host.h
@@ -44,6 +44,9 @@
 
     [[nodiscard]] bool is_alive();
 
+    /** Sends one request and returns its answer. */
+    [[nodiscard]] http_answer ask(const http_call& call);
+
     /** Largest resident memory of the process so far, in megabytes. */
     [[nodiscard]] std::size_t peak_memory_mb() const;
 
--- a/tests/crowd/entry_crowd_test.cpp
+++ b/tests/crowd/entry_crowd_test.cpp
@@ -1,8 +1,12 @@
 #include "crowded_host.h"
 #include "soak_client.h"
+#include "start_batch.h"
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace fulmarworks;
 using namespace fulmarworks::crowd;
@@ -19,6 +23,31 @@
 /** A body inside the limit of the configuration (262,144 bytes). */
 constexpr std::size_t permitted_body_bytes = 250'000;
 
+/** A port whose connections are never accepted. */
+class silent_listener {
+public:
+    silent_listener() {
+        sockaddr_in any = {};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(descriptor_, reinterpret_cast<sockaddr*>(&any), sizeof any);
+        listen(descriptor_, 4096);
+    }
+    ~silent_listener() { close(descriptor_); }
+    silent_listener(const silent_listener&) = delete;
+    silent_listener& operator=(const silent_listener&) = delete;
+
+    [[nodiscard]] std::string address() const {
+        sockaddr_in own = {};
+        socklen_t size = sizeof own;
+        getsockname(descriptor_, reinterpret_cast<sockaddr*>(&own), &size);
+        return soak::loopback(ntohs(own.sin_port));
+    }
+
+private:
+    int descriptor_ = socket(AF_INET, SOCK_STREAM, 0);
+};
+
 std::string head_with(const std::string& address_path, const std::string& fields) {
     return ordinary_head("POST", address_path) + fields + "\r\n";
 }
@@ -257,6 +286,32 @@
     check_usage(host);
 }
 
+// A submission goes on after its caller has left, for as long as the caller said that it would
+// wait.
+TEST_CASE("entry callers: large submissions whose callers leave while the store is silent") {
+    crowded_host host(soak::soak_configuration());
+    host.store().set_mode(soak::store_mode::lose_answers, 0);
+    const std::string body =
+        R"({"spec":"","steps":[{"requiredLabel":")" + std::string(200'000, 'x') + R"("}]})";
+    const std::string request = "POST /normal/" + job_id(1) +
+                                " HTTP/1.1\r\nHost: soak.example\r\nX-Api-Key: soak-key\r\n"
+                                "X-Fulmarworks-Deadline-Ms: 9000000000000000\r\nContent-Length: " +
+                                std::to_string(body.size()) + "\r\n\r\n" + body;
+    crowd_plan plan = flood(host.caller_address(), few_clients, "", request);
+    plan.bytes_per_connection = request.size();
+    {
+        hostile_crowd crowd(plan);
+        host.run(crowd);
+        INFO(crowd.bytes_sent() << " bytes over " << crowd.connections_opened() << " connections");
+        CHECK(host.is_ready());
+        check_usage(host);
+        host.store().set_mode(soak::store_mode::up, 0);
+        CHECK(host.serves_a_submission());
+    }
+    CHECK(host.serves_a_submission());
+    check_usage(host);
+}
+
 // A leader keeps every accepted job until it has ended, and for a while after that. The crowd is
 // one account's, and the ordinary caller another's.
 TEST_CASE("entry callers: accepted jobs of very many tasks") {
@@ -351,6 +406,38 @@
     check_usage(host);
 }
 
+// The host sends each start of a batch to the worker's address that the batch states.
+TEST_CASE("entry internal: batches of starts for a worker that doesn't answer") {
+    crowded_host host(soak::soak_configuration());
+    const silent_listener worker;
+    node::start_batch batch;
+    batch.fencing_token = 1;
+    http_call call;
+    call.method = "POST";
+    call.address = host.internal_address();
+    call.target = std::string(node::start_batch_path);
+    call.body = node::encode_start_batch(batch);
+    const auto clock = node::decode_clock(host.ask(call).body);
+    REQUIRE(clock);
+    batch.receiver = clock->process;
+    constexpr time_ms an_hour_ms = 3'600'000;
+    batch.send_until_ms = clock->clock_ms + an_hour_ms;
+    batch.payloads[job_id(1)] = std::string(4000, 'x');
+    for (std::uint32_t i = 0; i < node::max_starts_per_batch; ++i) {
+        scheduler::send_start start;
+        start.where.id = "w";
+        start.address = worker.address();
+        start.task = scheduler::task_id{job_id(1), 0, 0, i};
+        start.run = 1;
+        start.deadline_at_worker_ms = an_hour_ms;
+        batch.starts.push_back(start);
+    }
+    const std::string body = node::encode_start_batch(batch);
+    check_survives(host, flood(host.internal_address(), few_clients, "",
+                               "POST " + call.target + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                                   std::to_string(body.size()) + "\r\n\r\n" + body));
+}
+
 TEST_CASE("entry: crowds on all ports together") {
     crowded_host host(soak::soak_configuration());
     const std::string partial = "Content-Length: " + std::to_string(permitted_body_bytes) + "\r\n";
