node: submissions are admitted by the memory that jobs take in the leader

What callers saw: 40 submissions of 100 bytes each, of 19,000 tasks, took 189 MB of the leader, and 400 of 1,000 tasks 61 MB. A leader keeps each task of every accepted job, also those that have ended, and the next leader loads them all: one account could end one host after the other.

Cause: jobs were limited one by one, never together.

A leader reports the memory of its jobs with its lease, in total and for the eight accounts with the most; a host adds what it has admitted since. Nothing is reported below 1 MiB, so the records of the lease stay as they were in ordinary operation.

Not covered: what several hosts admit at the same moment, before the leader's next report, can exceed the limit.

--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -125,6 +125,15 @@
         spec.queue = call.queue->name;
         spec.policy = call.queue->policy;
         spec.policy_version = config.version;
+        switch (context.admit(spec)) {
+        case admission::admitted: break;
+        case admission::too_large:
+            refuse("job_too_large", call.job, empty_response(413), respond);
+            return;
+        case admission::backlog_full:
+            refuse("backlog_full", call.job, unavailable(max_retry_after_ms), respond);
+            return;
+        }
         spec.accepted_wall_ms = wall_now();
         spec.accepted_by = context.internal_address;
         context.payloads.add(call.job, spec.payload);
--- a/libs/node/src/caller_api.h
+++ b/libs/node/src/caller_api.h
@@ -3,6 +3,7 @@
 #include "gateway/classify.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "job_admission.h"
 #include "leader.h"
 #include "payload_cache.h"
 #include "peers.h"
@@ -36,6 +37,8 @@
     std::function<void()> refresh_leader;
     /** Calls without an answer, also of callers that have left; further ones are refused. */
     std::size_t max_open_calls = 0;
+    /** Decides whether a submission's job fits beside those that are accepted. */
+    std::function<admission(const scheduler::job_spec&)> admit;
 };
 
 /**
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -38,6 +38,10 @@
 /** Delay of the event loop from which a line is logged. */
 constexpr time_ms logged_loop_delay_ms = 200;
 
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+/** Less memory of all jobs isn't reported, to keep the records of the lease small. */
+constexpr std::size_t min_reported_backlog_bytes = bytes_per_mb;
+
 constexpr const char* metrics_content_type = "text/plain; version=0.0.4";
 
 } // namespace
@@ -50,6 +54,8 @@
     http_client http;
     platform::store_client store;
     client_ports ports;
+    job_admission jobs_admitted;
+    time_ms backlog_measured_at_ms = 0;
 
     std::unique_ptr<configuration_view> operator_view;
     std::unique_ptr<leader_elector> elector;
@@ -75,7 +81,8 @@
     impl(event_loop& l, const node_settings& s)
         : loop(l), settings(s), log(s.name), http(l),
           store(http, s.store_address, std::min(s.store_partitions, max_submission_partitions)),
-          ports(s.resources, log, counters) {}
+          ports(s.resources, log, counters),
+          jobs_admitted(s.resources.job_memory_mb * bytes_per_mb) {}
 
     result<void> open(http_server::Builder& builder, std::unique_ptr<http_server>& server) {
         auto built = builder.build(loop);
@@ -130,7 +137,11 @@
             loop, http, store, log, counters, [this] { return valid_configuration(); },
             settings.internal_address(), payloads, *peer_hosts, [this] { return term.get(); },
             [this] { return leader_address(elector->state()); }, [this] { elector->refresh(); },
-            settings.resources.max_open_calls});
+            settings.resources.max_open_calls,
+            [this](const scheduler::job_spec& spec) {
+                return jobs_admitted.decide(newest_backlog(elector->state()), spec.account,
+                                            estimate_memory(spec), monotonic_now());
+            }});
         operator_view = std::make_unique<configuration_view>(configuration_view_context{
             loop, store, log, [this] { update_requests(); }, [this] { update_requests(); },
             [this](bool ok) { update_store_reachable(ok); }});
@@ -275,7 +286,20 @@
         step_aside(elector->state(), now);
     }
 
+    /** Reports the memory of the jobs with the next record of the lease. */
+    void report_backlog() {
+        if (!term || term->state() == nullptr) {
+            elector->state().own_backlog.reset();
+        } else if (monotonic_now() - backlog_measured_at_ms >= leader_renewal_interval_ms) {
+            backlog_measured_at_ms = monotonic_now();
+            const auto memory = scheduler::measure_memory(*term->state());
+            counters.set("job_memory_bytes", static_cast<double>(memory.total));
+            elector->state().own_backlog = make_backlog(memory, min_reported_backlog_bytes);
+        }
+    }
+
     void send_due_lease_write() {
+        report_backlog();
         elector->send_due_write(
             acquisition_delay(settings.cpu_share, peer_hosts->largest_cpu_share()));
     }
--- a/libs/node/src/leadership.cpp
+++ b/libs/node/src/leadership.cpp
@@ -37,7 +37,8 @@
                                        released,
                                        next_lease_ms(state),
                                        std::max<time_ms>(state.earlier_orders_until_ms - now_ms, 0),
-                                       std::max<time_ms>(state.kept_until_ms - now_ms, 0)};
+                                       std::max<time_ms>(state.kept_until_ms - now_ms, 0),
+                                       state.own_backlog.value_or(newest_backlog(state))};
     // The other hosts count with this record as soon as they read it, even if its answer is lost.
     state.valid_until_ms =
         std::min(state.valid_until_ms, now_ms + state.pending_write->lease_ms - lease_margin_ms);
@@ -96,19 +97,43 @@
  * releases may use longer leases. */
 constexpr time_ms max_plausible_lease_ms = 60'000;
 
+json encode_backlog(const job_backlog& backlog) {
+    json accounts = json::array();
+    for (const auto& account : backlog.largest) {
+        accounts.push_back({account.name, account.bytes});
+    }
+    return {{"bytes", backlog.total_bytes}, {"accounts", accounts}};
+}
+
+/** Precondition: `j` is what `encode_backlog` returned; throws json::exception otherwise. */
+job_backlog decode_backlog(const json& j) {
+    job_backlog backlog;
+    backlog.total_bytes = integer_from_json<std::size_t>(j.at("bytes"));
+    for (const json& account : j.at("accounts")) {
+        if (backlog.largest.size() < max_reported_accounts) {
+            backlog.largest.push_back(
+                {account.at(0).get<std::string>(), integer_from_json<std::size_t>(account.at(1))});
+        }
+    }
+    return backlog;
+}
+
 } // namespace
 
 std::string encode_lease(const lease_record& r) {
-    return json({{"name", r.name},
-                 {"address", r.address},
-                 {"incarnation", r.incarnation},
-                 {"epoch", r.epoch},
-                 {"write", r.write_number},
-                 {"released", r.released},
-                 {"lease_ms", r.lease_ms},
-                 {"earlier_orders_ms", r.earlier_orders_ms},
-                 {"kept_ms", r.kept_ms}})
-        .dump();
+    json encoded = {{"name", r.name},
+                    {"address", r.address},
+                    {"incarnation", r.incarnation},
+                    {"epoch", r.epoch},
+                    {"write", r.write_number},
+                    {"released", r.released},
+                    {"lease_ms", r.lease_ms},
+                    {"earlier_orders_ms", r.earlier_orders_ms},
+                    {"kept_ms", r.kept_ms}};
+    if (r.backlog.total_bytes > 0) {
+        encoded["backlog"] = encode_backlog(r.backlog);
+    }
+    return encoded.dump();
 }
 
 result<lease_record> decode_lease(std::string_view text) {
@@ -131,6 +156,9 @@
                                        ? integer_from_json<time_ms>(j.at("earlier_orders_ms"))
                                        : max_leader_lease_ms + leader_grace_ms;
         record.kept_ms = j.contains("kept_ms") ? integer_from_json<time_ms>(j.at("kept_ms")) : 0;
+        if (j.contains("backlog")) {
+            record.backlog = decode_backlog(j.at("backlog"));
+        }
         const auto plausible = [](time_ms duration) {
             return duration >= 0 && duration <= max_plausible_lease_ms;
         };
@@ -159,6 +187,10 @@
            now_ms <= state.valid_until_ms + leader_grace_ms;
 }
 
+job_backlog newest_backlog(const leadership_state& state) {
+    return state.newest_record ? state.newest_record->backlog : job_backlog{};
+}
+
 std::string leader_address(const leadership_state& state) {
     if (!state.newest_record || state.newest_record->released) {
         return "";
--- a/libs/node/src/leadership.h
+++ b/libs/node/src/leadership.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "job_admission.h"
 
 #include <cstdint>
 #include <optional>
@@ -51,6 +52,8 @@
     time_ms earlier_orders_ms = 0;
     /** Time, counted from when the record was sent, for which no leader steps aside. */
     time_ms kept_ms = 0;
+    /** Memory that the accepted jobs take in the leader. */
+    job_backlog backlog = {};
 };
 
 [[nodiscard]] std::string encode_lease(const lease_record& record);
@@ -85,6 +88,9 @@
 
     /** The write that the store has not answered yet. */
     std::optional<lease_record> pending_write;
+    /** What this host reports of its jobs while it leads and knows them; without a value it repeats
+     * the last report. */
+    std::optional<job_backlog> own_backlog;
     /** Writes begun by this incarnation. */
     std::uint64_t write_count = 0;
     time_ms write_sent_at_ms = 0;
@@ -130,6 +136,9 @@
  */
 [[nodiscard]] bool may_act(const leadership_state& state, time_ms now_ms);
 
+/** Returns what the newest record reports of the accepted jobs. */
+[[nodiscard]] job_backlog newest_backlog(const leadership_state& state);
+
 /** Returns the address of the leader; empty while none is known. */
 [[nodiscard]] std::string leader_address(const leadership_state& state);
 
--- a/libs/node/tests/leadership_test.cpp
+++ b/libs/node/tests/leadership_test.cpp
@@ -257,3 +257,28 @@
     CHECK(may_act(a, 1000 + initial_leader_lease_ms));
     CHECK_FALSE(may_act(a, 1000 + initial_leader_lease_ms + leader_grace_ms + 1));
 }
+
+// Admission of jobs would forget the backlog at each change of leader otherwise.
+TEST_CASE("a leader that doesn't know the jobs yet repeats the reported backlog") {
+    std::uint64_t end = 0;
+    leadership_state first = make_host("a");
+    first.own_backlog = job_backlog{5'000'000, {{"x", 4'000'000}, {"y", 1'000'000}}};
+    const auto record = append(first, 1000, end);
+    REQUIRE(record);
+    const auto decoded = decode_lease(encode_lease(*record));
+    REQUIRE(decoded);
+    CHECK(decoded.value().backlog.total_bytes == 5'000'000);
+    REQUIRE(decoded.value().backlog.largest.size() == 2);
+    CHECK(decoded.value().backlog.largest[0].name == "x");
+    CHECK(decoded.value().backlog.largest[0].bytes == 4'000'000);
+    leadership_state second = make_host("b");
+    apply_lease_record(second, 1001, 0, decoded.value());
+    const auto taken = append(second, 20'000, end);
+    REQUIRE(taken);
+    CHECK(taken->backlog.total_bytes == 5'000'000);
+    second.own_backlog = job_backlog{};
+    const auto renewed = append(second, 20'500, end);
+    REQUIRE(renewed);
+    CHECK(renewed->backlog.total_bytes == 0);
+    CHECK(encode_lease(*renewed).find("backlog") == std::string::npos);
+}
