service: an instance limits memory and descriptors of its clients

What callers saw, on the port of `serve`: the same crowds as on an entry host (2,159 MB after 96 MB of short lines; 157 MB and 667 descriptors for bodies that never end).

Cause: as on entry hosts, no limit of the process. The settings memory_mb, max_open_files, client_memory_mb, max_head_bytes, max_transfer_ms and max_connections are checked and have defaults; client_limits_total counts what was applied, and a log line a second tells it.

--- a/libs/service/src/instance_service.cpp
+++ b/libs/service/src/instance_service.cpp
@@ -4,6 +4,7 @@
 #include "adapters/peer_link.h"
 #include "api_router.h"
 #include "base/log_line.h"
+#include "http/client_memory.h"
 #include "http/http_client.h"
 #include "service/metrics.h"
 
@@ -13,6 +14,8 @@
 
 constexpr time_ms tick_interval_ms = 50;
 constexpr time_ms log_poll_wait_ms = 1000;
+constexpr time_ms limit_log_interval_ms = 1000;
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 
 event_time current_time() {
     return {monotonic_now(), wall_now()};
@@ -30,10 +33,15 @@
     std::unique_ptr<peer_link> peers;
     instance_state state;
     time_ms next_wakeup_at = 0;
+    std::shared_ptr<client_memory> memory;
+    /** How often each limit was applied to a client: so far, and since the last log line. */
+    std::map<std::string, std::uint64_t> limit_counts;
+    std::map<std::string, std::uint64_t> unlogged_limits;
 
     impl(event_loop& l, const service_settings& s)
         : loop(l), settings(s), client(l), log(client, s.log_address, s.log_stream),
-          workers(client, s.host_list_address) {}
+          workers(client, s.host_list_address),
+          memory(std::make_shared<client_memory>(s.clients.client_memory_mb * bytes_per_mb)) {}
 
     void handle(const event& e) {
         effect_list effects;
@@ -184,6 +192,12 @@
             http_server::Builder()
                 .address(settings.instance.api_address)
                 .max_body_bytes(settings.instance.limits.max_body_bytes)
+                .max_head_bytes(settings.clients.max_head_bytes)
+                .transfer_timeout_ms(settings.clients.max_transfer_ms)
+                .max_connections(settings.clients.max_connections)
+                .max_open_requests(settings.clients.max_connections)
+                .memory(memory)
+                .on_limit([this](client_limit limit) { record(std::string(name_of(limit))); })
                 .on_request([this](const http_request& r, std::uint64_t token) { route(r, token); })
                 .on_gone([this](std::uint64_t token) { handle(caller_disconnected{token}); })
                 .build(loop);
@@ -191,9 +205,9 @@
             return built.error();
         }
         server = std::move(built.value());
-        auto linked =
-            peer_link::listen(loop, settings.instance.peer_address,
-                              [this](const peer_message& m) { handle(peer_message_received{m}); });
+        auto linked = peer_link::listen(
+            loop, settings.instance.peer_address,
+            [this](const peer_message& m) { handle(peer_message_received{m}); });
         if (!linked) {
             return linked.error();
         }
@@ -201,16 +215,36 @@
         return true;
     }
 
+    void record(const std::string& limit, std::uint64_t count = 1) {
+        limit_counts[limit] += count;
+        unlogged_limits[limit] += count;
+    }
+
+    /** Logs how often limits were applied to clients since the last time. */
+    void log_limits() {
+        for (const auto& [limit, count] : unlogged_limits) {
+            log_line(log_level::warning, "client_limit")
+                .field("limit", limit)
+                .field("count", static_cast<long long>(count))
+                .field("client_memory", static_cast<long long>(memory->used_bytes()));
+        }
+        unlogged_limits.clear();
+    }
+
+    [[nodiscard]] process_counts counts() const {
+        return {client.traffic().total_bytes(), memory->used_bytes(), server->open_connections(),
+                limit_counts};
+    }
+
     void route(const http_request& r, std::uint64_t token) {
-        router_context c = {
-            state,
-            *server,
-            workers,
-            [this](const event& e) { handle(e); },
-            [this] { return render_metrics(state, client.traffic().total_bytes()); },
-            [this](time_ms delay_ms, std::function<void()> action) {
-                loop.after(delay_ms, std::move(action));
-            }};
+        router_context c = {state,
+                            *server,
+                            workers,
+                            [this](const event& e) { handle(e); },
+                            [this] { return render_metrics(state, counts()); },
+                            [this](time_ms delay_ms, std::function<void()> action) {
+                                loop.after(delay_ms, std::move(action));
+                            }};
         route_request(c, r, token);
     }
 };
@@ -229,6 +263,7 @@
     i->perform_all(effects);
     impl* raw = i.get();
     loop.every(tick_interval_ms, [raw] { raw->handle(tick{}); });
+    loop.every(limit_log_interval_ms, [raw] { raw->log_limits(); });
     log_line(log_level::info, "instance_started")
         .field("name", own.name)
         .field("incarnation", static_cast<long long>(own.incarnation))
--- a/libs/service/src/metrics.cpp
+++ b/libs/service/src/metrics.cpp
@@ -62,7 +62,7 @@
 }
 
 void add_gauges(std::vector<MetricFamily>& families, const instance_state& s,
-                std::uint64_t bytes_transferred) {
+                const process_counts& counts) {
     const ledger_state& l = s.ledger;
     add_gauge(families, "ready", "1 if the instance takes requests", is_ready(s) ? 1 : 0);
     add_gauge(families, "log_available", "1 if the log service answers",
@@ -89,7 +89,11 @@
               static_cast<double>(s.workers.size()));
     add_gauge(families, "waiting_callers", "Callers that wait for an answer", s.waiting_callers);
     add_gauge(families, "client_bytes", "Bytes exchanged with platform and workers",
-              static_cast<double>(bytes_transferred));
+              static_cast<double>(counts.bytes_transferred));
+    add_gauge(families, "client_memory_bytes", "Memory held for clients",
+              static_cast<double>(counts.client_memory_bytes));
+    add_gauge(families, "client_connections", "Connections of callers and operators",
+              static_cast<double>(counts.client_connections));
 }
 
 } // namespace
@@ -100,13 +104,15 @@
                               : fragmentation(s.hosts, shape.hosts, shape.accelerators_per_host);
 }
 
-std::string render_metrics(const instance_state& s, std::uint64_t bytes_transferred) {
+std::string render_metrics(const instance_state& s, const process_counts& counts) {
     std::vector<MetricFamily> families;
-    add_gauges(families, s, bytes_transferred);
+    add_gauges(families, s, counts);
     add_counters(families, "decisions_total", "Decisions in the log by kind and reason",
                  s.ledger.counters);
     add_counters(families, "instance_total", "Refusals and retries of this instance by reason",
                  s.counters);
+    add_counters(families, "client_limits_total", "Limits applied to clients by name",
+                 counts.client_limits);
     return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/libs/service/src/service_settings.cpp
+++ b/libs/service/src/service_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "http/http_server.h"
 
+#include <algorithm>
+#include <cmath>
 #include <set>
 #include <yaml-cpp/yaml.h>
 
@@ -36,6 +38,16 @@
         }
     }
 
+    /** Reads a number that must lie within both bounds. */
+    template <class Number>
+    void within(const char* key, Number& value, double low, double high) {
+        read(key, value);
+        if (static_cast<double>(value) < low || static_cast<double>(value) > high) {
+            add_error(std::string(key) + " must be from " + std::to_string(std::llround(low)) +
+                      " to " + std::to_string(std::llround(high)));
+        }
+    }
+
     void finish() {
         for (const auto& entry : node_) {
             const auto name = entry.first.as<std::string>();
@@ -90,6 +102,28 @@
     reader.positive("max_body_bytes", limits.max_body_bytes);
 }
 
+/** Reads the limits of memory and descriptors. What isn't stated follows from `memory_mb` and
+ * `max_open_files`. */
+void read_client_limits(settings_reader& reader, client_limits& limits) {
+    constexpr double max_memory_mb = 1024 * 1024;
+    constexpr double max_open_files = 1024 * 1024;
+    constexpr double bytes_per_mb = 1024 * 1024;
+    reader.within("memory_mb", limits.memory_mb, 16, max_memory_mb);
+    reader.within("max_open_files", limits.max_open_files, 64, max_open_files);
+    limits.client_memory_mb = std::max<std::size_t>(limits.memory_mb / 4, 1);
+    limits.max_connections = limits.max_open_files / 2;
+    limits.max_peer_connections = limits.max_open_files / 16;
+    reader.within("client_memory_mb", limits.client_memory_mb, 1,
+                  static_cast<double>(limits.memory_mb) / 2);
+    reader.within("max_head_bytes", limits.max_head_bytes, 1024,
+                  static_cast<double>(limits.client_memory_mb) * bytes_per_mb / 4);
+    reader.positive("max_transfer_ms", limits.max_transfer_ms);
+    reader.within("max_connections", limits.max_connections, 1,
+                  static_cast<double>(limits.max_open_files) / 2);
+    reader.within("max_peer_connections", limits.max_peer_connections, 1,
+                  static_cast<double>(limits.max_open_files) / 4);
+}
+
 void check_intervals(const instance_limits& limits, std::string& errors) {
     if (limits.worker_poll_wait_ms >= limits.worker_timeout_ms ||
         limits.worker_timeout_ms >= limits.worker_lease_ms) {
@@ -118,6 +152,7 @@
         reader.text("log_stream", settings.log_stream, true);
         reader.address("host_list_address", settings.host_list_address);
         read_limits(reader, settings.instance.limits);
+        read_client_limits(reader, settings.clients);
         reader.finish();
     } catch (const YAML::Exception& e) {
         return error{error_kind::invalid_argument,
