adapters: the peers' port of an instance has limits

Cause: nng's publisher reads messages up to a megabyte that its protocol has no use for, and has no limit of connections. A smaller NNG_OPT_RECVMAXSZ bounds the first but not the second, and closing pipes by notification comes after the greeting.

The publishing side is now the project's own on libevent, by the published mapping of the scalability protocols to TCP; subscribers are nng's as before. It limits connections (max_peer_connections), the time for a greeting, what a subscriber sends and what it hasn't taken, and keeps the subscriptions of known hosts when all connections are in use.

--- a/libs/adapters/include/adapters/peer_link.h
+++ b/libs/adapters/include/adapters/peer_link.h
@@ -11,8 +11,8 @@
 namespace fulmarworks {
 
 /**
- * Publishes this instance's announcements and receives those of its peers over nng's
- * publish/subscribe sockets. Reconnects to a peer from which nothing was received for a while, as
+ * Publishes this instance's announcements and receives those of its peers by the scalability
+ * protocols PUB and SUB, as nng implements them. Reconnects to a peer from which nothing was received for a while, as
  * its connection may be dead without an error.
  *
  * Not thread safe; runs on the event loop's thread. The loop must outlive it.
@@ -21,9 +21,11 @@
 public:
     using message_handler = std::function<void(const peer_message&)>;
 
-    /** Listens on `address`. Errors: unavailable if that fails. */
+    /** Listens on `address` for at most `max_subscribers` peers. Errors: unavailable if that
+     * fails. */
     [[nodiscard]] static result<std::unique_ptr<peer_link>>
-    listen(event_loop& loop, const std::string& address, message_handler on_message);
+    listen(event_loop& loop, const std::string& address, std::size_t max_subscribers,
+           message_handler on_message);
 
     ~peer_link();
     peer_link(const peer_link&) = delete;
@@ -38,6 +40,10 @@
      */
     void follow(std::span<const std::string> addresses);
 
+    /** Returns the number of connections to this instance that were closed, or not accepted, because
+     * of a limit. */
+    [[nodiscard]] std::uint64_t rejected_connections() const;
+
     /** Closes both sockets. Must be called before the loop ends. Idempotent. */
     void close();
 
--- a/libs/adapters/src/peer_link.cpp
+++ b/libs/adapters/src/peer_link.cpp
@@ -1,9 +1,11 @@
 #include "adapters/peer_link.h"
 
+#include "http/http_server.h"
+#include "peer_publisher.h"
+
 #include <algorithm>
 #include <map>
 #include <nng/nng.h>
-#include <nng/protocol/pubsub0/pub.h>
 #include <nng/protocol/pubsub0/sub.h>
 
 namespace fulmarworks {
@@ -21,10 +23,20 @@
     time_ms dialled_at = 0;
 };
 
+std::set<std::string> ips_of(std::span<const std::string> addresses) {
+    std::set<std::string> ips;
+    for (const auto& address : addresses) {
+        if (const auto parsed = parse_address(address)) {
+            ips.insert(parsed.value().ip);
+        }
+    }
+    return ips;
+}
+
 } // namespace
 
 struct peer_link::impl {
-    nng_socket publisher = NNG_SOCKET_INITIALIZER;
+    std::unique_ptr<peer_publisher> publisher;
     nng_socket subscriber = NNG_SOCKET_INITIALIZER;
     message_handler on_message;
     std::map<std::string, peer_subscription> peers;
@@ -60,18 +72,22 @@
 };
 
 result<std::unique_ptr<peer_link>> peer_link::listen(event_loop& loop, const std::string& address,
+                                                     std::size_t max_subscribers,
                                                      message_handler on_message) {
     auto i = std::make_unique<impl>();
     i->on_message = std::move(on_message);
-    const bool opened = nng_pub0_open(&i->publisher) == 0 && nng_sub0_open(&i->subscriber) == 0 &&
-                        nng_socket_set(i->subscriber, NNG_OPT_SUB_SUBSCRIBE, "", 0) == 0 &&
-                        nng_listen(i->publisher, ("tcp://" + address).c_str(), nullptr, 0) == 0;
+    auto publisher = peer_publisher::listen(loop, address, max_subscribers);
+    if (!publisher) {
+        return publisher.error();
+    }
+    i->publisher = std::move(publisher.value());
     int descriptor = -1;
-    if (!opened || nng_socket_get_int(i->subscriber, NNG_OPT_RECVFD, &descriptor) != 0) {
-        nng_close(i->publisher);
+    if (nng_sub0_open(&i->subscriber) != 0 ||
+        nng_socket_set(i->subscriber, NNG_OPT_SUB_SUBSCRIBE, "", 0) != 0 ||
+        nng_socket_get_int(i->subscriber, NNG_OPT_RECVFD, &descriptor) != 0) {
         nng_close(i->subscriber);
-        return error{error_kind::unavailable, "cannot listen on " + address,
-                     "free the port or change peer_address in the settings"};
+        return error{error_kind::unavailable, "cannot subscribe to other instances",
+                     "check the limit of descriptors"};
     }
     impl* raw = i.get();
     loop.on_readable(descriptor, [raw] { raw->receive(); });
@@ -87,14 +103,19 @@
 void peer_link::close() {
     if (impl_->open) {
         impl_->open = false;
-        nng_close(impl_->publisher);
+        impl_->publisher.reset();
         nng_close(impl_->subscriber);
     }
 }
 
+std::uint64_t peer_link::rejected_connections() const {
+    return impl_->open ? impl_->publisher->rejected_connections() : 0;
+}
+
 void peer_link::publish(const peer_message& message) {
-    std::string text = json(message).dump();
-    nng_send(impl_->publisher, text.data(), text.size(), NNG_FLAG_NONBLOCK);
+    if (impl_->open) {
+        impl_->publisher->publish(json(message).dump());
+    }
 }
 
 void peer_link::follow(std::span<const std::string> addresses) {
@@ -106,6 +127,9 @@
         return true;
     });
     const time_ms now = monotonic_now();
+    if (impl_->open) {
+        impl_->publisher->set_known_hosts(ips_of(addresses));
+    }
     for (const auto& address : addresses) {
         const auto [entry, is_new] = impl_->peers.try_emplace(address);
         peer_subscription& peer = entry->second;
--- a/libs/service/src/instance_service.cpp
+++ b/libs/service/src/instance_service.cpp
@@ -37,6 +37,7 @@
     /** How often each limit was applied to a client: so far, and since the last log line. */
     std::map<std::string, std::uint64_t> limit_counts;
     std::map<std::string, std::uint64_t> unlogged_limits;
+    std::uint64_t rejected_peers_seen = 0;
 
     impl(event_loop& l, const service_settings& s)
         : loop(l), settings(s), client(l), log(client, s.log_address, s.log_stream),
@@ -206,7 +207,7 @@
         }
         server = std::move(built.value());
         auto linked = peer_link::listen(
-            loop, settings.instance.peer_address,
+            loop, settings.instance.peer_address, settings.clients.max_peer_connections,
             [this](const peer_message& m) { handle(peer_message_received{m}); });
         if (!linked) {
             return linked.error();
@@ -222,6 +223,11 @@
 
     /** Logs how often limits were applied to clients since the last time. */
     void log_limits() {
+        const std::uint64_t rejected_peers = peers->rejected_connections();
+        if (rejected_peers > rejected_peers_seen) {
+            record("peer_connections", rejected_peers - rejected_peers_seen);
+            rejected_peers_seen = rejected_peers;
+        }
         for (const auto& [limit, count] : unlogged_limits) {
             log_line(log_level::warning, "client_limit")
                 .field("limit", limit)
