node: large answers don't leave gaps in the heap

Cause: glibc returns large blocks to the system only until the first one is freed, which raises its threshold; after that answers of 2.6 MB left gaps in the heap. Besides, a view was copied into JSON, then into the answer, then into the connection's buffer. Not measured: what the account of memory says meanwhile.

Change: return_large_blocks fixes the threshold for entry hosts and instances; the text of a view is moved, and a large body is added to the buffer by reference.

--- a/fulmarworks/entry_command.cpp
+++ b/fulmarworks/entry_command.cpp
@@ -1,3 +1,4 @@
+#include "base/allocator.h"
 #include "command_line.h"
 #include "node/entry_node.h"
 
@@ -59,6 +60,7 @@
     if (!settings) {
         return print_error(settings.error());
     }
+    return_large_blocks();
     event_loop loop;
     const auto node = node::entry_node::start(loop, settings.value());
     if (!node) {
--- a/fulmarworks/serve_command.cpp
+++ b/fulmarworks/serve_command.cpp
@@ -1,3 +1,4 @@
+#include "base/allocator.h"
 #include "command_line.h"
 #include "service/instance_service.h"
 
@@ -21,6 +22,7 @@
     }
     FLAGS_logtostderr = true;
     google::InitGoogleLogging("fulmarworks");
+    return_large_blocks();
     event_loop loop;
     const auto service = instance_service::start(loop, settings.value());
     if (!service) {
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -82,7 +82,7 @@
     http_server& operator=(const http_server&) = delete;
 
     /** Responds to a request; does nothing if the client has disconnected. */
-    void respond(std::uint64_t token, const http_response& response);
+    void respond(std::uint64_t token, http_response response);
 
     /** Closes each connection after its next response; new connections are still accepted. */
     void drain();
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -45,6 +45,22 @@
     }
 }
 
+/** Adds a body to a buffer; a large one without a copy. */
+void add_body(evbuffer* output, std::string body) {
+    constexpr std::size_t min_referenced_bytes = 16 * std::size_t{1024};
+    if (body.size() < min_referenced_bytes) {
+        evbuffer_add(output, body.data(), body.size());
+        return;
+    }
+    auto owned = std::make_unique<std::string>(std::move(body));
+    const auto release = [](const void*, std::size_t, void* text) {
+        delete static_cast<std::string*>(text);
+    };
+    if (evbuffer_add_reference(output, owned->data(), owned->size(), release, owned.get()) == 0) {
+        (void)owned.release(); // the buffer owns it now
+    }
+}
+
 } // namespace
 
 client_connection::client_connection(bufferevent* stream, std::uint64_t id,
@@ -165,23 +181,23 @@
     lingers_ = true;
     http_response response = empty_response(status);
     response.retry_after_ms = status == 503 ? retry_after_ms : 0;
-    write(response, true);
+    write(std::move(response), true);
 }
 
-void client_connection::respond(const http_response& response, bool close_connection) {
+void client_connection::respond(http_response response, bool close_connection) {
     if (!closed_ && load_.phase == connection_phase::processing) {
-        write(response, close_connection || !keeps_alive_);
+        write(std::move(response), close_connection || !keeps_alive_);
     }
 }
 
-void client_connection::write(const http_response& response, bool close_connection) {
+void client_connection::write(http_response response, bool close_connection) {
     closes_after_response_ = close_connection;
     processing_bytes_ = 0;
     enter(connection_phase::sending);
     const std::string head = make_response_head(response, close_connection);
     evbuffer* output = bufferevent_get_output(stream_);
     evbuffer_add(output, head.data(), head.size());
-    evbuffer_add(output, response.body.data(), response.body.size());
+    add_body(output, std::move(response.body));
     response_bytes_ = output_bytes();
     // A response that is ready is delivered although it may exceed the account on its own.
     (void)update_load();
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -66,7 +66,7 @@
     [[nodiscard]] const connection_load& load() const { return load_; }
 
     /** Sends the response to the request that is being processed; does nothing without one. */
-    void respond(const http_response& response, bool close_connection);
+    void respond(http_response response, bool close_connection);
 
     /** Closes the connection because of a limit. Does nothing if it is closed. */
     void give_up(client_limit limit);
@@ -87,7 +87,7 @@
     void parse_input();
     void dispatch();
     void reject(int status, client_limit limit);
-    void write(const http_response& response, bool close_connection);
+    void write(http_response response, bool close_connection);
     void finish_response();
     void discard_input();
     void close();
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -259,7 +259,7 @@
         }
     }
 
-    void respond(std::uint64_t token, const http_response& response) {
+    void respond(std::uint64_t token, http_response response) {
         const auto found = connection_by_token.find(token);
         if (found == connection_by_token.end()) {
             release_abandoned(token);
@@ -267,7 +267,8 @@
         }
         client_connection& connection = *found->second;
         forget_request(connection);
-        connection.respond(response, draining || response.close_connection);
+        const bool close_connection = draining || response.close_connection;
+        connection.respond(std::move(response), close_connection);
     }
 };
 
@@ -277,8 +278,8 @@
     impl_->on_gone = nullptr;
 }
 
-void http_server::respond(std::uint64_t token, const http_response& response) {
-    impl_->respond(token, response);
+void http_server::respond(std::uint64_t token, http_response response) {
+    impl_->respond(token, std::move(response));
 }
 
 void http_server::drain() {
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -206,8 +206,8 @@
             internal_server->respond(token, response);
             return;
         }
-        const auto respond = [this, token](const http_response& response) {
-            internal_server->respond(token, response);
+        const auto respond = [this, token](http_response response) {
+            internal_server->respond(token, std::move(response));
         };
         if (!peer_hosts->handle(request, respond) && !relay->handle(request, respond)) {
             api->handle_forwarded(request, respond);
--- a/libs/node/src/peers.cpp
+++ b/libs/node/src/peers.cpp
@@ -22,9 +22,9 @@
 /** Limits the age of a configuration, so that differences of times don't overflow. */
 constexpr time_ms max_view_age_ms = 366 * 24 * milliseconds_per_hour;
 
-json encode_view(const store_view& v) {
+json encode_view(store_view v) {
     json j = {{"version", v.configuration_version},
-              {"configuration", v.configuration},
+              {"configuration", std::move(v.configuration)},
               {"configuration_age_ms", v.configuration_age_ms}};
     if (v.lease) {
         j["lease"] = encode_lease(*v.lease);
@@ -146,20 +146,20 @@
     }
 
     void serve_view(const http_request& request,
-                    const std::function<void(const http_response&)>& respond) const {
+                    const std::function<void(http_response)>& respond) const {
         const auto known = static_cast<std::uint64_t>(query_number(request.query, "known", 0));
-        const auto view = context.own_view(known);
+        auto view = context.own_view(known);
         if (!view) {
             respond(empty_response(503));
             return;
         }
         http_response response;
-        response.body = encode_view(*view).dump();
-        respond(response);
+        response.body = encode_view(std::move(*view)).dump();
+        respond(std::move(response));
     }
 
     void serve_append(const std::string& id, const http_request& request,
-                      const std::function<void(const http_response&)>& respond) const {
+                      const std::function<void(http_response)>& respond) const {
         if (!gateway::is_job_id(id)) {
             respond(empty_response(400));
             return;
@@ -261,8 +261,7 @@
     impl_->mark_failed(address);
 }
 
-bool peers::handle(const http_request& request,
-                   const std::function<void(const http_response&)>& respond) {
+bool peers::handle(const http_request& request, const std::function<void(http_response)>& respond) {
     if (request.path == view_path) {
         impl_->serve_view(request, respond);
         return true;
--- a/libs/node/src/peers.h
+++ b/libs/node/src/peers.h
@@ -85,8 +85,7 @@
     void mark_failed(const std::string& address);
 
     /** Answers a request of a peer. Returns false if `request` is not from the peer protocol. */
-    bool handle(const http_request& request,
-                const std::function<void(const http_response&)>& respond);
+    bool handle(const http_request& request, const std::function<void(http_response)>& respond);
 
 private:
     struct impl;
