node, service, tests: one name for each limit; each crowd test says what it guards

Cause: the change had grown names apart. max_caller_connections also limited the connections of other hosts; the time of a transfer was max_transfer_s in one program and max_transfer_ms in the other; the server's builder said read_timeout for what its connections call idle_timeout; serve's struct of limits was named like the enumeration of limits that were applied. The gauge open_calls left out calls of callers that have left, which the limit of the same name counts.

Change: max_connections, transfer_timeout_ms, idle_timeout_ms and resource_limits everywhere; the gauge counts what the limit counts.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -114,7 +114,7 @@
      * 1024. Also the bytes that a client may send ahead. */
     Builder& max_head_bytes(std::size_t value);
     /** Time without a request after which a connection is closed. */
-    Builder& read_timeout_ms(time_ms value);
+    Builder& idle_timeout_ms(time_ms value);
     /** Time for a whole request to arrive, or for a client to take a response. Large messages get
      * more: a second for each 16 KiB transferred. */
     Builder& transfer_timeout_ms(time_ms value);
@@ -142,7 +142,7 @@
     std::string address_;
     std::uint64_t max_body_bytes_ = 262144;
     std::size_t max_head_bytes_ = 16 * std::size_t{1024};
-    time_ms read_timeout_ms_ = 10 * milliseconds_per_second;
+    time_ms idle_timeout_ms_ = 10 * milliseconds_per_second;
     time_ms transfer_timeout_ms_ = 30 * milliseconds_per_second;
     std::size_t max_connections_ = 4096;
     std::size_t max_open_requests_ = 4096;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -315,7 +315,7 @@
     i->max_connections = max_connections_;
     i->max_open_requests = max_open_requests_;
     i->limits.request = {max_head_bytes_, max_body_bytes_};
-    i->limits.idle_timeout_ms = read_timeout_ms_;
+    i->limits.idle_timeout_ms = idle_timeout_ms_;
     i->limits.transfer_timeout_ms = transfer_timeout_ms_;
     i->headers = std::move(headers_);
     i->memory = memory_ ? memory_ : std::make_shared<client_memory>(default_memory_bytes);
--- a/libs/http/src/http_server_builder.cpp
+++ b/libs/http/src/http_server_builder.cpp
@@ -17,8 +17,8 @@
     return *this;
 }
 
-http_server::Builder& http_server::Builder::read_timeout_ms(time_ms value) {
-    read_timeout_ms_ = value;
+http_server::Builder& http_server::Builder::idle_timeout_ms(time_ms value) {
+    idle_timeout_ms_ = value;
     return *this;
 }
 
--- a/libs/http/tests/client_limits_test.cpp
+++ b/libs/http/tests/client_limits_test.cpp
@@ -220,7 +220,7 @@
 
 TEST_CASE("a request that waits for its answer isn't ended by the time limits") {
     limited_server s(
-        [](http_server::Builder& b) { b.transfer_timeout_ms(100).read_timeout_ms(100); });
+        [](http_server::Builder& b) { b.transfer_timeout_ms(100).idle_timeout_ms(100); });
     raw_client client(s.address);
     client.send(get("/wait"));
     REQUIRE(s.wait_for([&] { return s.waiting.size() == 1; }));
--- a/libs/node/include/node/resource_limits.h
+++ b/libs/node/include/node/resource_limits.h
@@ -7,8 +7,8 @@
 
 namespace fulmarworks::node {
 
-/** What an entry host may use of its machine, and how much of that its clients may take. Clients
- * are all that connect to one of its ports: callers, probes and other entry hosts. */
+/** Memory and descriptors of an entry host, and how much of them its clients may take. Clients are
+ * all that connect to one of its ports: callers, probes and other entry hosts. */
 struct resource_limits {
     /** Memory of the process in MiB. */
     std::size_t memory_mb = 256;
@@ -23,9 +23,9 @@
     /** Bytes of a body; the operator's configuration may set a lower limit for callers. */
     std::uint64_t max_body_bytes = 1024 * std::uint64_t{1024};
     /** Time for a request to arrive, or for a client to take an answer; large messages get more. */
-    time_ms max_transfer_ms = 30 * milliseconds_per_second;
+    time_ms transfer_timeout_ms = 30 * milliseconds_per_second;
     /** Connections of callers; other entry hosts may open as many. */
-    std::size_t max_caller_connections = 1024;
+    std::size_t max_connections = 1024;
     /** Calls without an answer; each may need one more descriptor. */
     std::size_t max_open_calls = 512;
     /** Starts that are sent to workers for a leader at the same time; each needs a descriptor. */
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -311,6 +311,10 @@
     impl_->close();
 }
 
+std::size_t caller_api::open_calls() const {
+    return impl_->open_calls.size();
+}
+
 void caller_api::handle(const http_request& request, respond_handler respond) {
     if (impl_->closed) {
         impl_->refuse("host_stopping", "-", impl_->retry_later(), respond);
--- a/libs/node/src/caller_api.h
+++ b/libs/node/src/caller_api.h
@@ -61,6 +61,9 @@
      * A call that may have been executed is answered so. */
     void close();
 
+    /** Returns the number of calls without an answer, those of callers that have left included. */
+    [[nodiscard]] std::size_t open_calls() const;
+
     /** Answers a call for the leader that another entry host forwarded. */
     void handle_forwarded(const http_request& request, respond_handler respond);
 
--- a/libs/node/src/client_ports.cpp
+++ b/libs/node/src/client_ports.cpp
@@ -39,11 +39,11 @@
 
 http_server::Builder client_ports::builder(client_port port) {
     http_server::Builder server;
-    server.read_timeout_ms(idle_timeout_ms)
-        .transfer_timeout_ms(limits_.max_transfer_ms)
+    server.idle_timeout_ms(idle_timeout_ms)
+        .transfer_timeout_ms(limits_.transfer_timeout_ms)
         .max_head_bytes(limits_.max_head_bytes)
         .max_open_requests(limits_.max_open_calls)
-        .max_connections(limits_.max_caller_connections)
+        .max_connections(limits_.max_connections)
         .memory(memory_)
         .on_limit([this, port](client_limit limit) { record(port, limit); });
     switch (port) {
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -194,7 +194,7 @@
         if (request.path == "/metrics") {
             counters.set("leader", is_leader(elector->state()) ? 1 : 0);
             counters.set("store_calls", static_cast<double>(store.calls_sent()));
-            counters.set("open_calls", static_cast<double>(caller_server->open_requests()));
+            counters.set("open_calls", static_cast<double>(api->open_calls()));
             counters.set("caller_connections",
                          static_cast<double>(caller_server->open_connections()));
             ports.export_memory();
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -125,11 +125,10 @@
     r.within("max_head_bytes", static_cast<double>(limits.max_head_bytes), 1024, client_bytes / 4);
     r.positive("max_body_bytes", limits.max_body_bytes);
     r.at_most("max_body_bytes", static_cast<double>(limits.max_body_bytes), client_bytes / 4);
-    r.seconds("max_transfer_s", limits.max_transfer_ms);
+    r.positive("transfer_timeout_ms", limits.transfer_timeout_ms);
     const double descriptors = static_cast<double>(limits.max_open_files);
-    r.positive("max_caller_connections", limits.max_caller_connections);
-    r.at_most("max_caller_connections", static_cast<double>(limits.max_caller_connections),
-              descriptors / 4);
+    r.positive("max_connections", limits.max_connections);
+    r.at_most("max_connections", static_cast<double>(limits.max_connections), descriptors / 4);
     r.positive("max_open_calls", limits.max_open_calls);
     r.at_most("max_open_calls", static_cast<double>(limits.max_open_calls), descriptors / 8);
     return limits;
--- a/libs/node/tests/node_settings_test.cpp
+++ b/libs/node/tests/node_settings_test.cpp
@@ -42,24 +42,24 @@
     const resource_limits& limits = parsed.value().resources;
     CHECK(limits.client_memory_mb == 30);
     CHECK(limits.job_memory_mb == 30);
-    CHECK(limits.max_caller_connections == 768);
+    CHECK(limits.max_connections == 768);
     CHECK(limits.max_open_calls == 384);
     CHECK(limits.max_relayed_starts == 192);
     const auto stated = parse_node_settings(
         required_keys + "memory_mb: 120\nclient_memory_mb: 8\nmax_open_calls: 7\n"
-                        "max_head_bytes: 4096\nmax_transfer_s: 2.5\n");
+                        "max_head_bytes: 4096\ntransfer_timeout_ms: 2500\n");
     REQUIRE(stated);
     CHECK(stated.value().resources.client_memory_mb == 8);
     CHECK(stated.value().resources.max_open_calls == 7);
     CHECK(stated.value().resources.max_head_bytes == 4096);
-    CHECK(stated.value().resources.max_transfer_ms == 2500);
+    CHECK(stated.value().resources.transfer_timeout_ms == 2500);
 }
 
 TEST_CASE("limits for clients that the process can't keep are refused") {
     for (const std::string wrong :
          {"memory_mb: 0", "memory_mb: 15", "memory_mb: much", "max_open_files: 10",
           "client_memory_mb: 200", "job_memory_mb: 200", "max_head_bytes: 100",
-          "max_body_bytes: 100000000", "max_transfer_s: -1", "max_caller_connections: 4000",
+          "max_body_bytes: 100000000", "transfer_timeout_ms: -1", "max_connections: 4000",
           "max_open_calls: 4000", "max_open_calls: 0"}) {
         CAPTURE(wrong);
         const auto parsed = parse_node_settings(required_keys + wrong + "\n");
--- a/libs/service/include/service/service_settings.h
+++ b/libs/service/include/service/service_settings.h
@@ -8,8 +8,8 @@
 
 namespace fulmarworks {
 
-/** What an instance may use of its machine, and how much of that its clients may take. */
-struct client_limits {
+/** Memory and descriptors of an instance, and how much of them its clients may take. */
+struct resource_limits {
     /** Memory of the process in MiB. */
     std::size_t memory_mb = 512;
     /** Descriptors of the process. */
@@ -19,7 +19,7 @@
     /** Bytes of a request line with all headers. */
     std::size_t max_head_bytes = 16 * std::size_t{1024};
     /** Time for a request to arrive, or for a client to take an answer; large ones get more. */
-    time_ms max_transfer_ms = 30 * milliseconds_per_second;
+    time_ms transfer_timeout_ms = 30 * milliseconds_per_second;
     /** Connections of callers and operators. */
     std::size_t max_connections = 2048;
     /** Connections of other instances. */
@@ -32,7 +32,7 @@
     std::string log_address;
     std::string log_stream = "fulmarworks";
     std::string host_list_address;
-    client_limits clients;
+    resource_limits resources;
 };
 
 /**
--- a/libs/service/src/instance_service.cpp
+++ b/libs/service/src/instance_service.cpp
@@ -42,7 +42,7 @@
     impl(event_loop& l, const service_settings& s)
         : loop(l), settings(s), client(l), log(client, s.log_address, s.log_stream),
           workers(client, s.host_list_address),
-          memory(std::make_shared<client_memory>(s.clients.client_memory_mb * bytes_per_mb)) {}
+          memory(std::make_shared<client_memory>(s.resources.client_memory_mb * bytes_per_mb)) {}
 
     void handle(const event& e) {
         effect_list effects;
@@ -193,10 +193,10 @@
             http_server::Builder()
                 .address(settings.instance.api_address)
                 .max_body_bytes(settings.instance.limits.max_body_bytes)
-                .max_head_bytes(settings.clients.max_head_bytes)
-                .transfer_timeout_ms(settings.clients.max_transfer_ms)
-                .max_connections(settings.clients.max_connections)
-                .max_open_requests(settings.clients.max_connections)
+                .max_head_bytes(settings.resources.max_head_bytes)
+                .transfer_timeout_ms(settings.resources.transfer_timeout_ms)
+                .max_connections(settings.resources.max_connections)
+                .max_open_requests(settings.resources.max_connections)
                 .memory(memory)
                 .on_limit([this](client_limit limit) { record(std::string(name_of(limit))); })
                 .on_request([this](const http_request& r, std::uint64_t token) { route(r, token); })
@@ -207,7 +207,7 @@
         }
         server = std::move(built.value());
         auto linked = peer_link::listen(
-            loop, settings.instance.peer_address, settings.clients.max_peer_connections,
+            loop, settings.instance.peer_address, settings.resources.max_peer_connections,
             [this](const peer_message& m) { handle(peer_message_received{m}); });
         if (!linked) {
             return linked.error();
--- a/libs/service/src/service_settings.cpp
+++ b/libs/service/src/service_settings.cpp
@@ -104,7 +104,7 @@
 
 /** Reads the limits of memory and descriptors. What isn't stated follows from `memory_mb` and
  * `max_open_files`. */
-void read_client_limits(settings_reader& reader, client_limits& limits) {
+void read_resource_limits(settings_reader& reader, resource_limits& limits) {
     constexpr double max_memory_mb = 1024 * 1024;
     constexpr double max_open_files = 1024 * 1024;
     constexpr double bytes_per_mb = 1024 * 1024;
@@ -117,7 +117,7 @@
                   static_cast<double>(limits.memory_mb) / 2);
     reader.within("max_head_bytes", limits.max_head_bytes, 1024,
                   static_cast<double>(limits.client_memory_mb) * bytes_per_mb / 4);
-    reader.positive("max_transfer_ms", limits.max_transfer_ms);
+    reader.positive("transfer_timeout_ms", limits.transfer_timeout_ms);
     reader.within("max_connections", limits.max_connections, 1,
                   static_cast<double>(limits.max_open_files) / 2);
     reader.within("max_peer_connections", limits.max_peer_connections, 1,
@@ -152,7 +152,7 @@
         reader.text("log_stream", settings.log_stream, true);
         reader.address("host_list_address", settings.host_list_address);
         read_limits(reader, settings.instance.limits);
-        read_client_limits(reader, settings.clients);
+        read_resource_limits(reader, settings.resources);
         reader.finish();
     } catch (const YAML::Exception& e) {
         return error{error_kind::invalid_argument,
--- a/review/standins-2/tests/deployment.cpp
+++ b/review/standins-2/tests/deployment.cpp
@@ -161,7 +161,7 @@
     auto built = http_server::Builder()
                      .address(address_)
                      .header("X-Fulmarworks-Expected-Instance")
-                     .read_timeout_ms(60'000)
+                     .idle_timeout_ms(60'000)
                      .on_request([this](const http_request& r, std::uint64_t t) { handle(r, t); })
                      .on_gone([this](std::uint64_t t) { held_.erase(t); })
                      .build(platform_.loop);
--- a/review/tests/executor.cpp
+++ b/review/tests/executor.cpp
@@ -32,7 +32,7 @@
     auto server = http_server::Builder()
                       .address(settings_.address)
                       .header("X-Fulmarworks-Expected-Instance")
-                      .read_timeout_ms(60 * milliseconds_per_second)
+                      .idle_timeout_ms(60 * milliseconds_per_second)
                       .on_request([this](const http_request& r, std::uint64_t t) { handle(r, t); })
                       .on_gone([this](std::uint64_t token) { polls_.erase(token); })
                       .build(loop_);
--- a/tests/crowd/crowd.cpp
+++ b/tests/crowd/crowd.cpp
@@ -26,6 +26,27 @@
 
 } // namespace
 
+crowd_plan flood(const std::string& address, int clients, std::string first, std::string repeated) {
+    crowd_plan plan;
+    plan.address = address;
+    plan.clients = clients;
+    plan.first = std::move(first);
+    plan.repeated = std::move(repeated);
+    plan.max_bytes = flood_bytes / static_cast<std::size_t>(clients);
+    return plan;
+}
+
+crowd_plan held_connections(const std::string& address, std::string first) {
+    constexpr int excessive_connections = 600;
+    crowd_plan plan;
+    plan.address = address;
+    plan.clients = excessive_connections;
+    plan.first = std::move(first);
+    plan.max_bytes = plan.first.size() + 1;
+    plan.max_connections = 2 * excessive_connections;
+    return plan;
+}
+
 hostile_crowd::hostile_crowd(crowd_plan plan) : plan_(std::move(plan)) {
     plan_.repeated = repeat_to_block(plan_.repeated);
     clients_.resize(static_cast<std::size_t>(plan_.clients));
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -33,6 +33,18 @@
     int max_connections = 5000;
 };
 
+/** Bytes that a flood sends in total: enough to take all memory of a tested process several times.
+ */
+inline constexpr std::size_t flood_bytes = std::size_t{96} * 1024 * 1024;
+
+/** Clients that send `first`, then `repeated` without end. */
+[[nodiscard]] crowd_plan flood(const std::string& address, int clients, std::string first,
+                               std::string repeated);
+
+/** More clients than a tested process has descriptors, which send `first` and keep their
+ * connections. Each opens another when it loses one, up to twice. */
+[[nodiscard]] crowd_plan held_connections(const std::string& address, std::string first);
+
 /**
  * Clients of one server on plain non-blocking sockets that don't keep to its limits. Not thread
  * safe. The destructor closes all connections.
--- a/tests/crowd/serve_crowd_test.cpp
+++ b/tests/crowd/serve_crowd_test.cpp
@@ -15,9 +15,7 @@
 /** Limits that the settings of the instance state, and the tests' bounds. */
 constexpr std::size_t memory_limit_mb = 48;
 constexpr std::size_t descriptor_limit = 256;
-constexpr std::size_t flood_bytes = 96 * megabyte;
 constexpr int few_clients = 8;
-constexpr int excessive_connections = 600;
 constexpr std::size_t permitted_body_bytes = 250'000;
 constexpr time_ms crowd_limit_ms = 15'000;
 
@@ -94,26 +92,6 @@
     instance.check_usage();
 }
 
-crowd_plan flood(const std::string& address, int clients, std::string first, std::string repeated) {
-    crowd_plan plan;
-    plan.address = address;
-    plan.clients = clients;
-    plan.first = std::move(first);
-    plan.repeated = std::move(repeated);
-    plan.max_bytes = flood_bytes / static_cast<std::size_t>(clients);
-    return plan;
-}
-
-crowd_plan held_connections(const std::string& address, std::string first) {
-    crowd_plan plan;
-    plan.address = address;
-    plan.clients = excessive_connections;
-    plan.first = std::move(first);
-    plan.max_bytes = plan.first.size() + 1;
-    plan.max_connections = 2 * excessive_connections;
-    return plan;
-}
-
 /** First bytes of a subscriber's connection: the protocol header of SP over TCP (nanomsg RFC
  * "sp-tcp-mapping-01") with the endpoint type of SUB. */
 std::string subscriber_greeting() {
@@ -131,17 +109,20 @@
 
 } // namespace
 
+// Guards against headers that are kept in many times the bytes that were sent.
 TEST_CASE("serve api: a head of short lines without end") {
     check_survives([](const test_cluster& c) {
         return flood(c.address(0), 1, "GET /v1/state HTTP/1.1\r\n", "a:b\r\n");
     });
 }
 
+// Guards against a line that is kept, and searched again with each packet, until it ends.
 TEST_CASE("serve api: a request line without end") {
     check_survives(
         [](const test_cluster& c) { return flood(c.address(0), few_clients, "GET /", "a"); });
 }
 
+// Guards against a part of the encoding that neither the limit of heads nor that of bodies counts.
 TEST_CASE("serve api: the size line of a piece without end") {
     check_survives([](const test_cluster& c) {
         return flood(c.address(0), few_clients,
@@ -149,22 +130,26 @@
     });
 }
 
+// Guards against a server that reads on while its client takes no answers.
 TEST_CASE("serve api: requests sent ahead at a path without a route") {
     check_survives([](const test_cluster& c) {
         return flood(c.address(0), few_clients, "", "GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n");
     });
 }
 
+// Guards against answers that are much larger than their requests, and not taken.
 TEST_CASE("serve api: metrics requests sent ahead") {
     check_survives([](const test_cluster& c) {
         return flood(c.address(0), few_clients, "", "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
     });
 }
 
+// Guards against connections that take the descriptors of the log, workers and other instances.
 TEST_CASE("serve api: more connections than descriptors and all idle") {
     check_survives([](const test_cluster& c) { return held_connections(c.address(0), ""); });
 }
 
+// Guards against permitted bodies of many clients that together exceed the memory.
 TEST_CASE("serve api: bodies inside the limit that never end") {
     check_survives([](const test_cluster& c) {
         const std::string head = "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: " +
@@ -173,16 +158,19 @@
     });
 }
 
+// Guards against subscribers without number.
 TEST_CASE("serve peers: more connections than descriptors and all idle") {
     check_survives([](const test_cluster& c) {
         return held_connections(c.peer_address(0), subscriber_greeting());
     });
 }
 
+// Guards against connections that are counted only after their greeting.
 TEST_CASE("serve peers: more connections than descriptors without a greeting") {
     check_survives([](const test_cluster& c) { return held_connections(c.peer_address(0), ""); });
 }
 
+// Guards against messages to a publisher, which has no use for them, that are read until they end.
 TEST_CASE("serve peers: messages of a megabyte that never end") {
     check_survives([](const test_cluster& c) {
         constexpr std::size_t size = megabyte - 1;
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -89,7 +89,7 @@
     auto server = http_server::Builder()
                       .address(address)
                       .max_body_bytes(max_body_bytes)
-                      .read_timeout_ms(60 * milliseconds_per_second)
+                      .idle_timeout_ms(60 * milliseconds_per_second)
                       .on_request([this](const http_request& r, std::uint64_t t) { handle(r, t); })
                       .on_gone([this](std::uint64_t token) { waiting_reads_.erase(token); })
                       .build(loop_);
