review: an entry of another writer starts a task twice

Cause: an entry under the id of a worker is taken for its restart whatever service it names. A late order reaches only the id that it names.

--- a/review/standins-3/tests/cases.h
+++ b/review/standins-3/tests/cases.h
@@ -25,6 +25,8 @@
 int run_earlier_born(case_context& context);
 /** An unanswered order is carried out after its executor has started again under its id. */
 int run_late_duplicate(case_context& context);
+/** Another writer puts an entry under the id of an executor that works. */
+int run_foreign_entry(case_context& context);
 /** Jobs are cancelled right after they were accepted, while the leader is stopped. */
 int run_early_cancel(case_context& context);
 /** A gang with checkpoints loses all its executors at once. */
